--- /dev/null
+++ b/cmd/hickorywick-router/internal/hwflags/flags.go
@@ -0,0 +1,167 @@
+// Package hwflags holds the router's settings as they stand on the command line and in environment variables.
+package hwflags
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwpeer"
+	"github.com/hickorywick/hickorywick/lib/hwrouter"
+	"github.com/hickorywick/hickorywick/lib/hwstore"
+)
+
+// Flags are the router's settings.
+type Flags struct {
+	Instance         string        `required:"" env:"HICKORYWICK_INSTANCE" help:"Name of this instance, unique in the fleet."`
+	Zone             string        `required:"" env:"HICKORYWICK_ZONE" help:"Availability zone of this instance."`
+	Environment      string        `default:"production" env:"HICKORYWICK_ENVIRONMENT" help:"Environment whose document is in force."`
+	CallersAddress   string        `default:"127.0.0.1:8080" env:"HICKORYWICK_CALLERS_ADDRESS" help:"IP number and port for callers."`
+	PeersAddress     string        `default:"127.0.0.1:18001" env:"HICKORYWICK_PEERS_ADDRESS" help:"IP number and port for other routers, as the instance list names it."`
+	OperatorsAddress string        `default:"127.0.0.1:8081" env:"HICKORYWICK_OPERATORS_ADDRESS" help:"IP number and port for operators, health and metrics."`
+	OperatorKey      string        `required:"" env:"HICKORYWICK_OPERATOR_KEY" help:"Key that operators present as a bearer token."`
+	PeerKey          string        `env:"HICKORYWICK_PEER_KEY" help:"Key that routers present to each other; needed off loopback unless certificates are given."`
+	PeerCertificate  string        `type:"existingfile" env:"HICKORYWICK_PEER_CERTIFICATE" help:"PEM file of this instance's certificate for mutual TLS between routers."`
+	PeerCertKey      string        `type:"existingfile" env:"HICKORYWICK_PEER_CERT_KEY" help:"PEM file of the certificate's private key."`
+	PeerAuthority    string        `type:"existingfile" env:"HICKORYWICK_PEER_AUTHORITY" help:"PEM file of the authority that signed the routers' certificates."`
+	Store            string        `env:"HICKORYWICK_STORE" help:"URL of the platform's key-value service."`
+	StoreTimeout     time.Duration `default:"1s" env:"HICKORYWICK_STORE_TIMEOUT" help:"Longest time of one call to the store."`
+	InstanceList     string        `env:"HICKORYWICK_INSTANCE_LIST" help:"URL of the platform's list of instances; without it the router is alone."`
+	Document         string        `type:"existingfile" env:"HICKORYWICK_DOCUMENT" help:"Document file for a trial without a store."`
+	Coordination     string        `default:"leased" enum:"leased,static,local" env:"HICKORYWICK_COORDINATION" help:"How routers share slots: leased is the product, static and local are baselines."`
+	Gain             float64       `default:"4" env:"HICKORYWICK_GAIN" help:"How fast a client account's lag is made good, per second."`
+	Lease            time.Duration `default:"2s" env:"HICKORYWICK_LEASE" help:"How long slots may be used without an answer from their broker."`
+	DrainGrace       time.Duration `default:"5s" env:"HICKORYWICK_DRAIN_GRACE" help:"How long a stopping router still accepts requests, until the balancer has seen that it is not ready."`
+	BodyBytes        int64         `default:"8388608" env:"HICKORYWICK_BODY_BYTES" help:"Largest request body in bytes."`
+	LogLevel         string        `default:"info" enum:"debug,info,warn,error" env:"HICKORYWICK_LOG_LEVEL" help:"Least severe level of events to log."`
+	Check            bool          `help:"Check the settings and the document file, then exit."`
+}
+
+// Router returns the settings as the router takes them.
+func (f Flags) Router(now time.Time) (hwrouter.Settings, error) {
+	times := hwrouter.DefaultTimes()
+	times.Lease = f.Lease
+	times.DrainGrace = f.DrainGrace
+	security, err := f.security()
+	if err != nil {
+		return hwrouter.Settings{}, trace.Wrap(err)
+	}
+	settings := hwrouter.Settings{
+		Instance:     f.Instance,
+		Zone:         f.Zone,
+		Environment:  f.Environment,
+		Boot:         uint64(now.UnixNano()),
+		PeersAddress: f.PeersAddress,
+		InstanceList: f.InstanceList,
+		OperatorKey:  f.OperatorKey,
+		Coordination: hwrouter.Coordination(f.Coordination),
+		Gain:         f.Gain,
+		Security:     security,
+		Times:        times,
+		BodyBytes:    f.BodyBytes,
+	}
+	return settings, trace.NewAggregate(settings.Check(), f.check())
+}
+
+func (f Flags) check() error {
+	var faults []error
+	if (f.Store == "") == (f.Document == "") {
+		faults = append(faults, trace.BadParameter("give either --store or --document"))
+	}
+	addresses := map[string]string{
+		"callers-address":   f.CallersAddress,
+		"operators-address": f.OperatorsAddress,
+	}
+	for name, address := range addresses {
+		if _, err := net.ResolveTCPAddr("tcp", address); err != nil {
+			faults = append(faults, trace.BadParameter("%s %q is not an IP number and a port", name, address))
+		}
+	}
+	if f.BodyBytes <= 0 {
+		faults = append(faults, trace.BadParameter("body-bytes must be above 0"))
+	}
+	if f.StoreTimeout <= 0 {
+		faults = append(faults, trace.BadParameter("store-timeout must be above 0"))
+	}
+	return trace.NewAggregate(faults...)
+}
+
+func (f Flags) security() (hwpeer.Security, error) {
+	security := hwpeer.Security{
+		SharedKey: f.PeerKey,
+	}
+	if f.PeerCertificate == "" && f.PeerCertKey == "" && f.PeerAuthority == "" {
+		return security, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(f.PeerCertificate, f.PeerCertKey)
+	if err != nil {
+		return security, trace.BadParameter("peer-certificate and peer-cert-key do not fit: %v", err)
+	}
+	authority, err := os.ReadFile(f.PeerAuthority)
+	if err != nil {
+		return security, trace.BadParameter("peer-authority cannot be read: %v", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return security, trace.BadParameter("peer-authority holds no certificate")
+	}
+	security.TLS = &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{certificate},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		// The certificates of all routers carry this one name, because instances are known by changing IP numbers.
+		ServerName: "hickorywick-router",
+	}
+	return security, nil
+}
+
+// Level returns the log level.
+func (f Flags) Level() hwevent.Level {
+	return map[string]hwevent.Level{
+		"debug": hwevent.Debug,
+		"info":  hwevent.Info,
+		"warn":  hwevent.Warn,
+		"error": hwevent.Error,
+	}[f.LogLevel]
+}
+
+// Listen opens the router's three sockets.
+func (f Flags) Listen() (hwrouter.Listeners, error) {
+	var open [3]net.Listener
+	for i, address := range []string{f.CallersAddress, f.PeersAddress, f.OperatorsAddress} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return hwrouter.Listeners{}, trace.Wrap(err)
+		}
+		open[i] = listener
+	}
+	return hwrouter.Listeners{
+		Callers:   open[0],
+		Peers:     open[1],
+		Operators: open[2],
+	}, nil
+}
+
+// storeConnections is how many connections to the store are kept.
+const storeConnections = 4
+
+// NewStore returns the adapter of the platform's store, or nil when the document comes from a file.
+func (f Flags) NewStore() *hwstore.Etcd {
+	if f.Store == "" {
+		return nil
+	}
+	return hwstore.NewEtcd(f.Store, f.StoreTimeout, &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: storeConnections,
+			IdleConnTimeout:     time.Minute,
+		},
+	})
+}
--- /dev/null
+++ b/cmd/hickorywick-router/main.go
@@ -0,0 +1,89 @@
+// Command hickorywick-router is one instance of the router fleet.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-router/internal/hwflags"
+	"github.com/hickorywick/hickorywick/lib/hwdocument"
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwkratos"
+	"github.com/hickorywick/hickorywick/lib/hwrouter"
+)
+
+// stopTimeout is the longest time that requests in flight may take when the router stops.
+const stopTimeout = 10 * time.Minute
+
+func main() {
+	var flags hwflags.Flags
+	kong.Parse(&flags,
+		kong.Name("hickorywick-router"),
+		kong.Description("Routes requests of client accounts to upstreams and shares capacity fairly with the other routers of the fleet."))
+	if err := run(flags); err != nil {
+		fmt.Fprintln(os.Stderr, "hickorywick-router:", trace.UserMessage(err))
+		os.Exit(1)
+	}
+}
+
+func run(flags hwflags.Flags) error {
+	settings, err := flags.Router(time.Now())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	body, err := readDocument(flags.Document)
+	if err != nil || flags.Check {
+		return trace.Wrap(err)
+	}
+	logger := hwevent.New(os.Stderr, flags.Level())
+	klog.SetLogger(hwkratos.New(logger))
+	listeners, err := flags.Listen()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	dependencies := hwrouter.Dependencies{
+		Listeners: listeners,
+		Logger:    logger,
+	}
+	if store := flags.NewStore(); store != nil {
+		dependencies.Store = store
+		dependencies.Calls = store.Calls()
+	}
+	router, err := hwrouter.New(settings, dependencies)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if body != nil {
+		router.Install(1, hwdocument.Digest(body), body)
+	}
+	app := kratos.New(
+		kratos.Name("hickorywick-router"),
+		kratos.ID(flags.Instance),
+		kratos.Context(context.Background()),
+		kratos.Server(router),
+		kratos.StopTimeout(stopTimeout),
+	)
+	return trace.Wrap(app.Run())
+}
+
+// readDocument reads and checks the document of a trial without a store.
+func readDocument(path string) ([]byte, error) {
+	if path == "" {
+		return nil, nil
+	}
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if _, err := hwdocument.Decode(body); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/cmd/hickorywick-standin/internal/hwfakestore/watch.go
@@ -0,0 +1,114 @@
+package hwfakestore
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+type watchRequest struct {
+	Create struct {
+		Key           []byte `json:"key"`
+		StartRevision text64 `json:"start_revision"`
+	} `json:"create_request"`
+}
+
+type watchEvent struct {
+	Type string `json:"type"`
+	Kv   pair   `json:"kv"`
+}
+
+type watchResult struct {
+	Header header       `json:"header"`
+	Events []watchEvent `json:"events,omitempty"`
+}
+
+type watchResponse struct {
+	Result watchResult `json:"result"`
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	var in watchRequest
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	watch := s.open(in)
+	defer s.close(watch)
+	flusher, _ := w.(http.Flusher)
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	_ = encoder.Encode(watchResponse{})
+	flusher.Flush()
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-watch.cut:
+			abort(w)
+		case e := <-watch.events:
+			if encoder.Encode(responseOf(e)) != nil {
+				return
+			}
+			flusher.Flush()
+		}
+	}
+}
+
+func (s *Store) open(in watchRequest) *watcher {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.counts.Watches++
+	watch := &watcher{
+		key:    string(in.Create.Key),
+		events: make(chan event, backlog),
+		cut:    make(chan struct{}),
+	}
+	for _, e := range s.history {
+		if e.key == watch.key && in.Create.StartRevision > 0 && e.revision >= int64(in.Create.StartRevision) {
+			watch.events <- e
+		}
+	}
+	s.watchers[watch] = true
+	return watch
+}
+
+func (s *Store) close(watch *watcher) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	delete(s.watchers, watch)
+}
+
+// Replay sends every watcher all past events of its key again, as a service that serves old data does.
+func (s *Store) Replay() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for w := range s.watchers {
+		for _, e := range s.history {
+			if e.key == w.key && len(w.events) < backlog {
+				w.events <- e
+			}
+		}
+	}
+}
+
+func responseOf(e event) watchResponse {
+	kind := "PUT"
+	if e.deleted {
+		kind = "DELETE"
+	}
+	return watchResponse{
+		Result: watchResult{
+			Header: header{
+				Revision: text64(e.revision),
+			},
+			Events: []watchEvent{{
+				Type: kind,
+				Kv: pair{
+					Key:         []byte(e.key),
+					Value:       e.value,
+					ModRevision: text64(e.revision),
+				},
+			}},
+		},
+	}
+}
--- /dev/null
+++ b/cmd/hickorywickctl/internal/hwquery/query.go
@@ -0,0 +1,211 @@
+// Package hwquery holds the operators' queries: they change nothing.
+package hwquery
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/lib/hwdocument"
+	"github.com/hickorywick/hickorywick/lib/hwhead"
+	"github.com/hickorywick/hickorywick/lib/hwrouter"
+	"github.com/hickorywick/hickorywick/lib/hwstore"
+)
+
+const queryTimeout = 10 * time.Second
+
+// Validate checks a document file.
+func Validate(out io.Writer, path string) error {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	document, err := hwdocument.Decode(body)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = fmt.Fprintf(out, "valid: environment %s, %d accounts, %d pools, %d services\n",
+		document.Environment, len(document.Accounts), len(document.Pools), len(document.Services))
+	return trace.Wrap(err)
+}
+
+// Diff prints what a document file would change.
+func Diff(ctx context.Context, out io.Writer, store hwstore.Store, path string) error {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	after, err := hwdocument.Decode(body)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	publisher := hwhead.New(store, queryTimeout)
+	current, err := publisher.Current(ctx, after.Environment)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	before := &hwdocument.Document{}
+	if current.Head.Version > 0 {
+		inForce, err := publisher.Body(ctx, current.Head.Digest)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if before, err = hwdocument.Decode(inForce); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	for _, line := range hwdocument.Diff(before, after) {
+		if _, err := fmt.Fprintln(out, line); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// Show prints the document in force.
+func Show(ctx context.Context, out io.Writer, store hwstore.Store, environment string) error {
+	publisher := hwhead.New(store, queryTimeout)
+	current, err := publisher.Current(ctx, environment)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if current.Head.Version == 0 {
+		return trace.NotFound("environment %s has no document", environment)
+	}
+	body, err := publisher.Body(ctx, current.Head.Digest)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = out.Write(body)
+	return trace.Wrap(err)
+}
+
+// History prints the versions of an environment, the newest first.
+func History(ctx context.Context, out io.Writer, store hwstore.Store, environment string) error {
+	current, err := hwhead.New(store, queryTimeout).Current(ctx, environment)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	line := func(version uint64, digest, author string, written time.Time) {
+		_, _ = fmt.Fprintf(w, "%d\t%.12s\t%s\t%s\n", version, digest, author, written.Format(time.RFC3339))
+	}
+	head := current.Head
+	if head.Version > 0 {
+		line(head.Version, head.Digest, head.Author, head.Written)
+	}
+	for _, past := range head.History {
+		line(past.Version, past.Digest, past.Author, past.Written)
+	}
+	return trace.Wrap(w.Flush())
+}
+
+// Operators reaches the operators' listeners of routers.
+type Operators struct {
+	Addresses []string
+	Key       string
+}
+
+// Get reads a JSON answer from one router's operators' listener.
+func (o Operators) Get(ctx context.Context, address, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+o.Key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return trace.ConnectionProblem(nil, "%s answered %s with status %d", address, path, response.StatusCode)
+	}
+	return trace.Wrap(json.NewDecoder(response.Body).Decode(into))
+}
+
+func (o Operators) statuses(ctx context.Context) ([]hwrouter.Status, error) {
+	var all []hwrouter.Status
+	for _, address := range o.Addresses {
+		var status hwrouter.Status
+		if err := o.Get(ctx, address, "/status", &status); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		all = append(all, status)
+	}
+	return all, nil
+}
+
+// Status prints the instances with the version in force, and the slots of each pool.
+func Status(ctx context.Context, out io.Writer, operators Operators) error {
+	statuses, err := operators.statuses(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "instance\tzone\tready\tversion\tmembers\tpool\tbroker\theld\tin use\tleased\tslow")
+	for _, s := range statuses {
+		for _, p := range s.Pools {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%v\t%d\t%d\t%s\t%s\t%d\t%d\t%v\t%v\n", s.Instance, s.Zone, s.Ready, s.Version, len(s.Members),
+				p.Pool, s.Brokers[p.Pool], p.Held, p.InUse, p.Leased, p.Slow)
+		}
+	}
+	return trace.Wrap(w.Flush())
+}
+
+// Fairness prints the service of each account by pool over the asked routers, and the gap that the broker sees.
+func Fairness(ctx context.Context, out io.Writer, operators Operators) error {
+	statuses, err := operators.statuses(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	type key struct {
+		pool    string
+		account string
+	}
+	type sum struct {
+		service float64
+		waiting int
+		running int
+	}
+	sums := map[key]sum{}
+	var order []key
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, s := range statuses {
+		for _, p := range s.Pools {
+			for _, a := range p.Accounts {
+				k := key{
+					pool:    p.Pool,
+					account: a.Account,
+				}
+				if _, seen := sums[k]; !seen {
+					order = append(order, k)
+				}
+				sums[k] = sum{
+					service: sums[k].service + a.Service,
+					waiting: sums[k].waiting + a.Waiting,
+					running: sums[k].running + a.Running,
+				}
+			}
+		}
+	}
+	_, _ = fmt.Fprintln(w, "pool\taccount\tservice\twaiting\trunning")
+	for _, k := range order {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%.0f\t%d\t%d\n", k.pool, k.account, sums[k].service, sums[k].waiting, sums[k].running)
+	}
+	for _, s := range statuses {
+		for pool, gap := range s.Gaps {
+			_, _ = fmt.Fprintf(w, "%s\tgap now\t%.1f\t\tbroker %s\n", pool, gap, s.Instance)
+		}
+	}
+	return trace.Wrap(w.Flush())
+}
--- /dev/null
+++ b/cmd/hickorywickctl/main.go
@@ -0,0 +1,146 @@
+// Command hickorywickctl is the operators' command line.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/cmd/hickorywickctl/internal/hwcommand"
+	"github.com/hickorywick/hickorywick/cmd/hickorywickctl/internal/hwquery"
+	"github.com/hickorywick/hickorywick/lib/hwstore"
+)
+
+type arguments struct {
+	Store        string        `default:"http://127.0.0.1:2379" env:"HICKORYWICK_STORE" help:"URL of the platform's key-value service."`
+	StoreTimeout time.Duration `default:"2s" env:"HICKORYWICK_STORE_TIMEOUT" help:"Longest time of one call to the store."`
+	Operators    []string      `default:"127.0.0.1:8081" env:"HICKORYWICK_OPERATORS" help:"Operators' addresses of the routers to ask."`
+	OperatorKey  string        `env:"HICKORYWICK_OPERATOR_KEY" help:"Key for the operators' listeners."`
+	Author       string        `env:"HICKORYWICK_AUTHOR,USER" default:"operator" help:"Name that stands beside a written version."`
+
+	Validate        validateCommand `cmd:"" help:"Query: check a document file and print every fault."`
+	Diff            diffCommand     `cmd:"" help:"Query: print what a document file would change."`
+	Show            showCommand     `cmd:"" help:"Query: print the document in force."`
+	History         historyCommand  `cmd:"" help:"Query: print the versions of an environment."`
+	Status          statusCommand   `cmd:"" help:"Query: print instances, versions in force, brokers and slots."`
+	Fairness        fairnessCommand `cmd:"" help:"Query: print service by account and the gap now."`
+	Put             putCommand      `cmd:"" help:"Command: store a document file as the next version of its environment."`
+	Promote         promoteCommand  `cmd:"" help:"Command: make one environment's document the next version of another."`
+	RollbackForward rollbackCommand `cmd:"" help:"Command: make an earlier version's document the next version."`
+}
+
+func (a arguments) store() hwstore.Store {
+	return hwstore.NewEtcd(a.Store, a.StoreTimeout, &http.Client{})
+}
+
+func (a arguments) environment() hwcommand.Environment {
+	return hwcommand.Environment{
+		Store:  a.store(),
+		Out:    os.Stdout,
+		Author: a.Author,
+	}
+}
+
+func (a arguments) operators() hwquery.Operators {
+	return hwquery.Operators{
+		Addresses: a.Operators,
+		Key:       a.OperatorKey,
+	}
+}
+
+type fileArgument struct {
+	File string `arg:"" type:"existingfile" help:"Document file."`
+}
+
+type environmentArgument struct {
+	Environment string `arg:"" help:"Environment, such as trial or production."`
+}
+
+type validateCommand struct{ fileArgument }
+
+// Run checks the file.
+func (c validateCommand) Run() error { return hwquery.Validate(os.Stdout, c.File) }
+
+type diffCommand struct{ fileArgument }
+
+// Run prints the differences.
+func (c diffCommand) Run(ctx context.Context, a *arguments) error {
+	return hwquery.Diff(ctx, os.Stdout, a.store(), c.File)
+}
+
+type showCommand struct{ environmentArgument }
+
+// Run prints the document.
+func (c showCommand) Run(ctx context.Context, a *arguments) error {
+	return hwquery.Show(ctx, os.Stdout, a.store(), c.Environment)
+}
+
+type historyCommand struct{ environmentArgument }
+
+// Run prints the history.
+func (c historyCommand) Run(ctx context.Context, a *arguments) error {
+	return hwquery.History(ctx, os.Stdout, a.store(), c.Environment)
+}
+
+type statusCommand struct{}
+
+// Run prints the status.
+func (c statusCommand) Run(ctx context.Context, a *arguments) error {
+	return hwquery.Status(ctx, os.Stdout, a.operators())
+}
+
+type fairnessCommand struct{}
+
+// Run prints the service by account.
+func (c fairnessCommand) Run(ctx context.Context, a *arguments) error {
+	return hwquery.Fairness(ctx, os.Stdout, a.operators())
+}
+
+type putCommand struct{ fileArgument }
+
+// Run stores the file.
+func (c putCommand) Run(ctx context.Context, a *arguments) error {
+	return hwcommand.Put(ctx, time.Now(), a.environment(), c.File)
+}
+
+type promoteCommand struct {
+	From string `default:"trial" help:"Environment to take the document from."`
+	To   string `default:"production" help:"Environment to bring it to."`
+}
+
+// Run promotes.
+func (c promoteCommand) Run(ctx context.Context, a *arguments) error {
+	return hwcommand.Promote(ctx, time.Now(), a.environment(), c.From, c.To)
+}
+
+type rollbackCommand struct {
+	environmentArgument
+	Version uint64 `required:"" help:"Earlier version whose document is to be in force again."`
+}
+
+// Run rolls back by going forward.
+func (c rollbackCommand) Run(ctx context.Context, a *arguments) error {
+	return hwcommand.RollbackForward(ctx, time.Now(), a.environment(), c.Environment, c.Version)
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	parsed := &arguments{}
+	command := kong.Parse(parsed,
+		kong.Name("hickorywickctl"),
+		kong.Description("Queries and commands for operators of hickorywick routers."),
+		kong.BindTo(ctx, (*context.Context)(nil)))
+	if err := command.Run(parsed); err != nil {
+		fmt.Fprintln(os.Stderr, "hickorywickctl:", trace.UserMessage(err))
+		stop()
+		os.Exit(1) //nolint:gocritic // The deferred stop has been called.
+	}
+}
--- /dev/null
+++ b/lib/hwdispatch/dispatcher.go
@@ -0,0 +1,380 @@
+package hwdispatch
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwdocument"
+	"github.com/hickorywick/hickorywick/lib/hwerror"
+	"github.com/hickorywick/hickorywick/lib/hwlimit"
+	"github.com/hickorywick/hickorywick/lib/hwroute"
+	"github.com/hickorywick/hickorywick/lib/hwshare"
+	"github.com/hickorywick/hickorywick/lib/hwslot"
+)
+
+// Settings are the parts of the dispatcher that the document does not hold.
+type Settings struct {
+	Instance string
+	Boot     uint64
+	Zone     string
+	Lease    time.Duration
+	// Patience is how long short work goes before long work that arrived earlier.
+	Patience time.Duration
+	// LongFactor is how many times the pool's mean cost a request must exceed to count as long.
+	LongFactor float64
+	// ShortMemory is how long part of the slots is kept from long work after short work arrived.
+	ShortMemory time.Duration
+	// CatchUp is the cap on what an account may catch up, in cost units per share.
+	CatchUp float64
+	// FirstEstimate is the expected cost before anything was learned, in cost units.
+	FirstEstimate float64
+}
+
+type running struct {
+	request  Request
+	upstream string
+	started  time.Time
+	estimate float64
+	charged  float64
+	lane     hwshare.Lane
+	progress time.Time
+}
+
+type account struct {
+	bound   int
+	service float64
+	running int
+	// starts counts starts while backlogged; with since it gives the rate that predicts waits.
+	starts float64
+	since  time.Time
+}
+
+// Dispatcher is the state of one pool at one router.
+type Dispatcher struct {
+	settings  Settings
+	pool      hwdocument.Pool
+	queue     *hwshare.Queue[Request]
+	counters  *hwshare.Counters
+	estimator *hwshare.Estimator
+	holder    *hwslot.Holder
+	detector  *hwlimit.Detector
+	chooser   *hwroute.Chooser
+	accounts  map[string]*account
+	running   map[string]*running
+	zones     map[string]string
+	longInUse int
+	// shortSeen is when short work last arrived.
+	shortSeen time.Time
+	// reported is each account's service at the last report, to bring the broker's counters up to date on arrival.
+	reported map[string]float64
+}
+
+// New returns a dispatcher for a pool, with random numbers from the given source.
+func New(settings Settings, pool hwdocument.Pool, accounts []hwdocument.Account, members []string, source rand.Source) *Dispatcher {
+	d := &Dispatcher{
+		settings: settings,
+		queue:    hwshare.NewQueue[Request](settings.Patience),
+		counters: hwshare.NewCounters(hwshare.CounterSettings{
+			CatchUp: settings.CatchUp,
+			Grace:   0,
+		}),
+		estimator: hwshare.NewEstimator(settings.FirstEstimate),
+		holder: hwslot.NewHolder(hwslot.HolderSettings{
+			Instance: settings.Instance,
+			Boot:     settings.Boot,
+			Pool:     pool.Name,
+			Lease:    settings.Lease,
+		}),
+		detector: hwlimit.New(hwlimit.Settings{
+			Window:            speedWindow,
+			SlowPermille:      slowPermille,
+			RecoveredPermille: recoveredPermille,
+			MinimumSamples:    minimumSamples,
+		}),
+		chooser: hwroute.New(hwroute.Settings{
+			Zone:             settings.Zone,
+			AffinityEntries:  affinityEntries,
+			AffinityDiscount: affinityDiscount,
+			ZoneCost:         zoneCostSeconds,
+		}, source),
+		accounts: map[string]*account{},
+		running:  map[string]*running{},
+		reported: map[string]float64{},
+	}
+	d.holder.SetMembers(members)
+	d.SetDocument(pool, accounts)
+	return d
+}
+
+// The detector's and the chooser's constants.
+const (
+	speedWindow       = 3 * time.Second
+	slowPermille      = 2000
+	recoveredPermille = 1500
+	minimumSamples    = 20
+	affinityEntries   = 10000
+	affinityDiscount  = 0.3
+	zoneCostSeconds   = 0.001
+)
+
+// SetDocument takes the pool's and the accounts' settings of a new document.
+func (d *Dispatcher) SetDocument(pool hwdocument.Pool, accounts []hwdocument.Account) {
+	d.pool = pool
+	d.zones = map[string]string{}
+	limits := map[string]int{}
+	for _, u := range pool.Upstreams {
+		d.zones[u.Address] = u.Zone
+		if !u.Draining {
+			limits[u.Address] = pool.SlotsOf(u)
+		}
+	}
+	for _, a := range accounts {
+		d.account(a.Name).bound = a.QueueBound
+		d.counters.SetShare(a.Name, a.Share)
+	}
+	d.holder.SetLimits(limits)
+}
+
+// SetMembers sets the instances among which floors are divided.
+func (d *Dispatcher) SetMembers(members []string) { d.holder.SetMembers(members) }
+
+func (d *Dispatcher) account(name string) *account {
+	a, known := d.accounts[name]
+	if !known {
+		a = &account{
+			bound: hwdocument.DefaultQueueBound,
+		}
+		d.accounts[name] = a
+	}
+	return a
+}
+
+// Enqueue admits a request, or rejects it when its account's queue is full or its deadline cannot be met.
+func (d *Dispatcher) Enqueue(now time.Time, request Request) Effects {
+	a := d.account(request.Account)
+	waiting := d.queue.Waiting(request.Account)
+	expected, known := d.expectedWait(now, request.Account)
+	switch {
+	case request.Again:
+	case waiting >= a.bound:
+		return rejected(request.ID, hwerror.KindQueueFull, expected)
+	case !now.Before(request.Deadline):
+		return rejected(request.ID, hwerror.KindDeadline, 0)
+	case known && now.Add(expected).After(request.Deadline):
+		return rejected(request.ID, hwerror.KindDeadline, expected)
+	}
+	entry := hwshare.Entry[Request]{
+		ID:       request.ID,
+		Account:  request.Account,
+		Lane:     d.lane(d.estimate(request)),
+		Arrived:  now,
+		Deadline: request.Deadline,
+		Item:     request,
+	}
+	if entry.Lane == hwshare.Short {
+		d.shortSeen = now
+	}
+	if request.Again {
+		d.queue.PushFront(entry)
+	} else {
+		d.queue.Push(entry)
+	}
+	d.counters.Observe(now, request.Account, true)
+	if waiting == 0 {
+		a.starts = 0
+		a.since = now
+	}
+	effects := d.dispatch(now)
+	effects.Report = true
+	return effects
+}
+
+func rejected(id string, kind hwerror.Kind, after time.Duration) Effects {
+	return Effects{
+		Rejections: []Rejection{{
+			ID:         id,
+			Kind:       kind,
+			RetryAfter: after,
+		}},
+	}
+}
+
+func (d *Dispatcher) estimate(request Request) float64 {
+	return math.Max(request.Prompt, d.estimator.Estimate(request.Account, request.Hint))
+}
+
+func (d *Dispatcher) lane(cost float64) hwshare.Lane {
+	mean := d.estimator.Mean()
+	if mean > 0 && cost > d.settings.LongFactor*mean {
+		return hwshare.Long
+	}
+	return hwshare.Short
+}
+
+// rateSamples is how many starts a prediction of the wait needs.
+const rateSamples = 8
+
+// expectedWait predicts how long a new request of the account waits, from how fast its queue moved since it last was empty.
+func (d *Dispatcher) expectedWait(now time.Time, name string) (time.Duration, bool) {
+	a := d.account(name)
+	elapsed := now.Sub(a.since).Seconds()
+	if a.starts < rateSamples || elapsed <= 0 {
+		return 0, false
+	}
+	seconds := float64(d.queue.Waiting(name)) * elapsed / a.starts
+	return time.Duration(seconds * float64(time.Second)), true
+}
+
+// halveStarts forgets old starts, so that the predicted wait follows the present rate.
+func (a *account) halveStarts(now time.Time) {
+	const horizon = 2 * time.Second
+	elapsed := now.Sub(a.since)
+	if elapsed > horizon {
+		a.since = now.Add(-elapsed / 2)
+		a.starts /= 2
+	}
+}
+
+// Cancel removes a waiting request and reports whether it was waiting.
+func (d *Dispatcher) Cancel(now time.Time, accountName, id string) bool {
+	found := d.queue.Remove(accountName, id)
+	d.settleBacklog(now, accountName)
+	return found
+}
+
+func (d *Dispatcher) settleBacklog(now time.Time, name string) {
+	d.counters.Observe(now, name, d.queue.Waiting(name) > 0)
+}
+
+// dispatch starts waiting requests while slots are free, the backlogged account with the lowest counter first.
+func (d *Dispatcher) dispatch(now time.Time) Effects {
+	var effects Effects
+	for {
+		upstreams := d.holder.Upstreams()
+		if len(upstreams) == 0 {
+			return effects
+		}
+		start, found := d.startOne(now, d.candidates(upstreams))
+		if !found {
+			return effects
+		}
+		effects.Starts = append(effects.Starts, start)
+	}
+}
+
+func (d *Dispatcher) startOne(now time.Time, candidates []hwroute.Candidate) (Start, bool) {
+	longAllowed := d.longAllowed(now)
+	for _, name := range d.byCounter(now) {
+		entry, found := d.queue.Peek(name, longAllowed)
+		if !found {
+			continue
+		}
+		estimate := d.estimate(entry.Item)
+		upstream, chosen := d.chooser.Choose(candidates, entry.Item.Prefix, estimate, entry.Item.Excluded)
+		if !chosen {
+			// Only upstreams that this request has tried are free; the next account may use them.
+			continue
+		}
+		d.queue.Pop(name, longAllowed)
+		d.start(now, entry, upstream, estimate)
+		return Start{
+			ID:       entry.ID,
+			Upstream: upstream,
+		}, true
+	}
+	return Start{}, false
+}
+
+func (d *Dispatcher) start(now time.Time, entry hwshare.Entry[Request], upstream string, estimate float64) {
+	d.holder.Take(upstream)
+	a := d.account(entry.Account)
+	a.running++
+	a.starts++
+	a.halveStarts(now)
+	if entry.Lane == hwshare.Long {
+		d.longInUse++
+	}
+	d.running[entry.ID] = &running{
+		request:  entry.Item,
+		upstream: upstream,
+		started:  now,
+		estimate: estimate,
+		lane:     entry.Lane,
+		progress: now,
+	}
+	d.settleBacklog(now, entry.Account)
+}
+
+func (d *Dispatcher) candidates(upstreams []string) []hwroute.Candidate {
+	candidates := make([]hwroute.Candidate, 0, len(upstreams))
+	for _, u := range upstreams {
+		candidates = append(candidates, hwroute.Candidate{
+			Upstream:       u,
+			Zone:           d.zones[u],
+			InUse:          d.holder.InUse(u),
+			Free:           d.holder.Free(u),
+			SecondsPerUnit: d.detector.SecondsPerUnit(u),
+		})
+	}
+	return candidates
+}
+
+// longAllowed keeps part of the slots from long work, but only while short work has been arriving: otherwise capacity would idle.
+func (d *Dispatcher) longAllowed(now time.Time) bool {
+	if now.Sub(d.shortSeen) > d.settings.ShortMemory {
+		return true
+	}
+	held, _ := d.holder.Held()
+	return d.longInUse*100 < max(1, held*d.pool.LongSlotsPercent/100)*100
+}
+
+// byCounter returns the accounts with waiting work, the lowest counter first; what runs counts with its expected cost.
+func (d *Dispatcher) byCounter(now time.Time) []string {
+	names := d.queue.Accounts()
+	pending := d.pending(now)
+	slices.SortStableFunc(names, func(a, b string) int {
+		left := d.counters.Value(a) + pending[a]/d.counters.Share(a)
+		right := d.counters.Value(b) + pending[b]/d.counters.Share(b)
+		switch {
+		case left < right:
+			return -1
+		case left > right:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return names
+}
+
+// Finish settles a request and starts what its slot allows.
+func (d *Dispatcher) Finish(now time.Time, id string, finish Finish) Effects {
+	r, known := d.running[id]
+	if !known {
+		return Effects{}
+	}
+	d.charge(r, finish.Cost)
+	if !finish.Failed {
+		d.estimator.Learn(r.request.Account, finish.Cost)
+		d.observeWhole(now, r, finish.Cost)
+	}
+	if r.lane == hwshare.Long {
+		d.longInUse--
+	}
+	d.account(r.request.Account).running--
+	delete(d.running, id)
+	d.holder.Release(r.upstream)
+	effects := d.dispatch(now)
+	effects.Report = true
+	return effects
+}
+
+// observeWhole judges an upstream's speed by a whole answer, when there was no stream to judge by.
+func (d *Dispatcher) observeWhole(now time.Time, r *running, cost float64) {
+	if r.progress != r.started || cost <= 0 || d.pool.Kind != hwdocument.KindEngine {
+		return
+	}
+	d.detector.Observe(now, r.upstream, time.Duration(float64(now.Sub(r.started))/cost))
+}
--- /dev/null
+++ b/lib/hwdispatch/report.go
@@ -0,0 +1,105 @@
+package hwdispatch
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwerror"
+	"github.com/hickorywick/hickorywick/lib/hwslot"
+)
+
+// Report returns the report for the broker.
+func (d *Dispatcher) Report(now time.Time, leaving bool) hwslot.Report {
+	pending := d.pending(now)
+	d.judge(now)
+	rows := make([]hwslot.AccountRow, 0, len(d.accounts))
+	view := make([]hwslot.CounterRow, 0, len(d.accounts))
+	for _, name := range slices.Sorted(maps.Keys(d.accounts)) {
+		a := d.accounts[name]
+		if a.service == 0 && a.running == 0 && d.queue.Waiting(name) == 0 {
+			continue
+		}
+		row := hwslot.AccountRow{
+			Account: name,
+			Waiting: d.queue.Waiting(name),
+			Running: a.running,
+			Service: a.service,
+			Pending: math.Round(pending[name]),
+		}
+		rows = append(rows, row)
+		view = append(view, hwslot.CounterRow{
+			Account: name,
+			Counter: d.counters.Value(name),
+		})
+		d.reported[name] = a.service
+	}
+	return d.holder.Report(now, rows, view, leaving)
+}
+
+func (d *Dispatcher) judge(now time.Time) {
+	for _, j := range d.detector.Judge(now) {
+		permille := 0
+		if j.Slow {
+			permille = max(j.Permille, slowPermille)
+		}
+		d.holder.SetSlowness(j.Upstream, permille)
+	}
+}
+
+// Grant takes the broker's answer and starts what it allows.
+func (d *Dispatcher) Grant(now time.Time, grant hwslot.Grant) Effects {
+	if !d.holder.Grant(grant) {
+		return Effects{}
+	}
+	for _, row := range grant.Counters {
+		since := d.account(row.Account).service - d.reported[row.Account]
+		d.counters.Set(row.Account, row.Counter+since/d.counters.Share(row.Account))
+	}
+	return d.dispatch(now)
+}
+
+// ReportFailed notes that a report got no answer.
+func (d *Dispatcher) ReportFailed() { d.holder.Failed() }
+
+// Tick lets the lease and deadlines run out. The second result tells that the lease just ended.
+func (d *Dispatcher) Tick(now time.Time) (Effects, bool) {
+	expired := d.holder.Expire(now)
+	var effects Effects
+	for _, entry := range d.queue.Expire(now) {
+		effects = effects.with(rejected(entry.ID, hwerror.KindDeadline, 0))
+		d.settleBacklog(now, entry.Account)
+	}
+	return effects.with(d.dispatch(now)), expired
+}
+
+// Idle reports whether nothing waits or runs.
+func (d *Dispatcher) Idle() bool { return len(d.running) == 0 && len(d.queue.Accounts()) == 0 }
+
+// Status returns the pool's state at this router.
+func (d *Dispatcher) Status() Status {
+	held, inUse := d.holder.Held()
+	status := Status{
+		Pool:   d.pool.Name,
+		Held:   held,
+		InUse:  inUse,
+		Leased: d.holder.Leased(),
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.accounts)) {
+		a := d.accounts[name]
+		status.Accounts = append(status.Accounts, AccountStatus{
+			Account: name,
+			Waiting: d.queue.Waiting(name),
+			Running: a.running,
+			Service: a.service,
+			Counter: d.counters.Value(name),
+		})
+	}
+	for _, u := range d.pool.Upstreams {
+		if d.detector.Slow(u.Address) {
+			status.Slow = append(status.Slow, u.Address)
+		}
+	}
+	return status
+}
--- /dev/null
+++ b/lib/hwdocument/document.go
@@ -0,0 +1,207 @@
+// Package hwdocument holds the operators' configuration document: its types, strict decoding, checks, differences and versions.
+package hwdocument
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind tells what a pool's upstreams speak.
+type Kind string
+
+const (
+	// KindEngine is a model engine that speaks the OpenAI-compatible format.
+	KindEngine Kind = "engine"
+	// KindService is a plain HTTP service.
+	KindService Kind = "service"
+)
+
+// Duration is a time span written as "30s" in the document.
+type Duration time.Duration
+
+// Std returns the span as the standard library's type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Document is one environment's configuration. It is immutable once decoded.
+type Document struct {
+	Environment string      `yaml:"environment"`
+	Accounts    []Account   `yaml:"accounts"`
+	Pools       []Pool      `yaml:"pools"`
+	Services    []Service   `yaml:"services"`
+	Objectives  []Objective `yaml:"objectives"`
+}
+
+// Account is a client account, its share of service and the digests of its keys.
+type Account struct {
+	Name       string   `yaml:"name"`
+	Share      float64  `yaml:"share"`
+	KeySHA256  []string `yaml:"key-sha256"`
+	QueueBound int      `yaml:"queue-bound"`
+	Pools      []string `yaml:"pools"`
+}
+
+// Pool is a set of upstreams that serve the same models or services.
+// Weights are cost units per token, or per millisecond for a plain service.
+type Pool struct {
+	Name              string     `yaml:"name"`
+	Kind              Kind       `yaml:"kind"`
+	Models            []string   `yaml:"models"`
+	Slots             int        `yaml:"slots"`
+	LongSlotsPercent  int        `yaml:"long-slots-percent"`
+	PromptWeight      float64    `yaml:"prompt-weight"`
+	GeneratedWeight   float64    `yaml:"generated-weight"`
+	MillisecondWeight float64    `yaml:"millisecond-weight"`
+	LargestCost       float64    `yaml:"largest-cost"`
+	QueueTimeout      Duration   `yaml:"queue-timeout"`
+	ProgressTimeout   Duration   `yaml:"progress-timeout"`
+	AnswerTimeout     Duration   `yaml:"answer-timeout"`
+	ResumesStreams    bool       `yaml:"resumes-streams"`
+	Upstreams         []Upstream `yaml:"upstreams"`
+}
+
+// Upstream is one replica of an engine or service.
+type Upstream struct {
+	Address       string `yaml:"address"`
+	Zone          string `yaml:"zone"`
+	Slots         int    `yaml:"slots"`
+	ChecksFencing bool   `yaml:"checks-fencing"`
+	Draining      bool   `yaml:"draining"`
+}
+
+// Service is a plain service and its routes.
+type Service struct {
+	Name   string  `yaml:"name"`
+	Pool   string  `yaml:"pool"`
+	Routes []Route `yaml:"routes"`
+}
+
+// Route says how calls below a path are handled.
+type Route struct {
+	Path       string   `yaml:"path"`
+	Methods    []string `yaml:"methods"`
+	Idempotent bool     `yaml:"idempotent"`
+	Deadline   Duration `yaml:"deadline"`
+}
+
+// Objective is a service-level objective: the share of requests that must be answered within a time and end truthfully.
+type Objective struct {
+	Account string   `yaml:"account"`
+	Pool    string   `yaml:"pool"`
+	Within  Duration `yaml:"within"`
+	Target  float64  `yaml:"target"`
+}
+
+// SlotsOf returns the concurrency ceiling of an upstream in the pool.
+func (p Pool) SlotsOf(u Upstream) int {
+	if u.Slots > 0 {
+		return u.Slots
+	}
+	return p.Slots
+}
+
+// Capacity returns the sum of the ceilings of the upstreams that take new work.
+func (p Pool) Capacity() int {
+	total := 0
+	for _, u := range p.Upstreams {
+		if !u.Draining {
+			total += p.SlotsOf(u)
+		}
+	}
+	return total
+}
+
+// Pool returns the named pool.
+func (d *Document) Pool(name string) (Pool, bool) {
+	i := slices.IndexFunc(d.Pools, func(p Pool) bool { return p.Name == name })
+	if i < 0 {
+		return Pool{}, false
+	}
+	return d.Pools[i], true
+}
+
+// PoolOfModel returns the pool that serves a model.
+func (d *Document) PoolOfModel(model string) (Pool, bool) {
+	i := slices.IndexFunc(d.Pools, func(p Pool) bool { return slices.Contains(p.Models, model) })
+	if i < 0 {
+		return Pool{}, false
+	}
+	return d.Pools[i], true
+}
+
+// Service returns the named service.
+func (d *Document) Service(name string) (Service, bool) {
+	i := slices.IndexFunc(d.Services, func(s Service) bool { return s.Name == name })
+	if i < 0 {
+		return Service{}, false
+	}
+	return d.Services[i], true
+}
+
+// Account returns the named account.
+func (d *Document) Account(name string) (Account, bool) {
+	i := slices.IndexFunc(d.Accounts, func(a Account) bool { return a.Name == name })
+	if i < 0 {
+		return Account{}, false
+	}
+	return d.Accounts[i], true
+}
+
+// MayReach reports whether the account may use a pool; an account that names no pools may use all.
+func (a Account) MayReach(pool string) bool {
+	return len(a.Pools) == 0 || slices.Contains(a.Pools, pool)
+}
+
+// Authenticate returns the account that owns a key.
+// Every digest is compared, in constant time, so that the time taken tells nothing about which account came close.
+func (d *Document) Authenticate(key string) (Account, bool) {
+	sum := sha256.Sum256([]byte(key))
+	digest := []byte(hex.EncodeToString(sum[:]))
+	found := -1
+	for i, account := range d.Accounts {
+		for _, known := range account.KeySHA256 {
+			if subtle.ConstantTimeCompare(digest, []byte(strings.ToLower(known))) == 1 {
+				found = i
+			}
+		}
+	}
+	if found < 0 {
+		return Account{}, false
+	}
+	return d.Accounts[found], true
+}
+
+// Route returns the longest route of the service that covers the path and method.
+// The second result tells whether any route covers the path at all.
+func (s Service) Route(method, path string) (route Route, pathKnown, methodKnown bool) {
+	longest := -1
+	for _, r := range s.Routes {
+		if !covers(r.Path, path) {
+			continue
+		}
+		pathKnown = true
+		if !slices.Contains(r.Methods, method) || len(r.Path) <= longest {
+			continue
+		}
+		longest = len(r.Path)
+		route = r
+		methodKnown = true
+	}
+	return route, pathKnown, methodKnown
+}
+
+func covers(prefix, path string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+// SafeMethod reports whether HTTP itself promises that a call with the method changes nothing.
+func SafeMethod(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
--- /dev/null
+++ b/lib/hwevent/event_test.go
@@ -0,0 +1,50 @@
+package hwevent_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+)
+
+func TestCatalogueNumbersAreUnique(t *testing.T) {
+	numbers := map[int]string{}
+	names := map[string]int{}
+	for _, event := range hwevent.Catalogue() {
+		assert.Empty(t, numbers[event.Number], event.Name)
+		assert.Zero(t, names[event.Name], event.Name)
+		numbers[event.Number] = event.Name
+		names[event.Name] = event.Number
+	}
+}
+
+func TestCatalogueIsTheOneInTheDocs(t *testing.T) {
+	page, err := os.ReadFile("../../docs/EVENTS.md")
+	require.NoError(t, err)
+	var want []string
+	for _, event := range hwevent.Catalogue() {
+		want = append(want, fmt.Sprintf("| %d | %s | %s | %s |", event.Number, event.Level, event.Name, event.Meaning))
+	}
+	var got []string
+	for line := range strings.SplitSeq(string(page), "\n") {
+		if strings.HasPrefix(line, "| 1") || strings.HasPrefix(line, "| 2") {
+			got = append(got, line)
+		}
+	}
+	assert.Equal(t, want, got, "docs/EVENTS.md must list the catalogue; the wanted lines are:\n%s", strings.Join(want, "\n"))
+}
+
+func TestEmitWritesNumberNameAndFields(t *testing.T) {
+	var out bytes.Buffer
+	hwevent.New(&out, hwevent.Info).Emit(hwevent.RouterStarted, hwevent.With("zone", "zone-a"))
+	assert.Contains(t, out.String(), `"event":1001,"name":"router-started","zone":"zone-a"`)
+	out.Reset()
+	hwevent.New(&out, hwevent.Info).Emit(hwevent.RequestRefused)
+	assert.Empty(t, out.String(), "an event below the level is not written")
+}
--- /dev/null
+++ b/lib/hwintake/call.go
@@ -0,0 +1,158 @@
+// Package hwintake turns callers' HTTP requests into calls and writes refusals back as JSON.
+package hwintake
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hickorywick/hickorywick/lib/hwdocument"
+	"github.com/hickorywick/hickorywick/lib/hwerror"
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+)
+
+// Call is a checked request of a client account.
+type Call struct {
+	ID      string
+	Account hwdocument.Account
+	Pool    hwdocument.Pool
+	Method  string
+	Path    string
+	Header  http.Header
+	Body    []byte
+	// Stream tells that the caller asked for an event stream.
+	Stream bool
+	// Repeatable tells that the request may run more than once.
+	Repeatable bool
+	// Key is the caller's idempotency key, or empty.
+	Key string
+	// Deadline is how long the call may wait for its start.
+	Deadline time.Duration
+	// Timeout is how long a whole answer may take.
+	Timeout time.Duration
+	// PromptTokens is the estimated size of the prompt.
+	PromptTokens float64
+	// TokenLimit is the caller's bound on generated tokens; 0 is none.
+	TokenLimit float64
+	// Prefix names the beginning of the prompt, for the upstreams' prefix caches; 0 is none.
+	Prefix uint64
+	// BodyHash names the body.
+	BodyHash uint64
+}
+
+// Gateway runs calls.
+type Gateway interface {
+	// Document returns the document in force, or nil before the first one.
+	Document() *hwdocument.Document
+	// Serve runs a call and writes its answer, or the refusal, to the writer.
+	Serve(ctx context.Context, call Call, writer http.ResponseWriter)
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	BodyBytes int64
+}
+
+// IdempotencyHeader carries the caller's key for a request that must run at most once.
+const IdempotencyHeader = "Idempotency-Key"
+
+// RequestHeader carries the request's id, chosen by the caller or by the router.
+const RequestHeader = "X-Request-Id"
+
+// longestName bounds the ids and keys that callers choose, in bytes.
+const longestName = 200
+
+// bytesPerToken is the rough size of a token of text.
+const bytesPerToken = 4
+
+// prefixBytes is how much of a prompt names its prefix.
+const prefixBytes = 2048
+
+func refuse(kind hwerror.Kind, message string) *hwerror.Refusal {
+	return hwerror.Refuse(kind, hwevent.RequestRefused.Number, message)
+}
+
+// readBody reads the body within the limit.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *hwerror.Refusal) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, refuse(hwerror.KindTooLarge, "the body is larger than this service accepts")
+	case err != nil:
+		return nil, refuse(hwerror.KindMalformed, "the body could not be read to its end")
+	}
+	return body, nil
+}
+
+// modelRequest is the part of a completion request that the router needs.
+type modelRequest struct {
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	MaxTokens           float64         `json:"max_tokens"`
+	MaxCompletionTokens float64         `json:"max_completion_tokens"`
+	Messages            json.RawMessage `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+}
+
+// modelCall checks a completion request.
+func modelCall(document *hwdocument.Document, account hwdocument.Account, call Call) (Call, *hwerror.Refusal) {
+	var request modelRequest
+	decoder := json.NewDecoder(bytes.NewReader(call.Body))
+	if err := decoder.Decode(&request); err != nil {
+		return Call{}, refuse(hwerror.KindMalformed, "the body is not a JSON completion request")
+	}
+	prompt := request.Prompt
+	if strings.HasSuffix(call.Path, "/chat/completions") {
+		prompt = request.Messages
+	}
+	if request.Model == "" || len(prompt) == 0 {
+		return Call{}, refuse(hwerror.KindMalformed, "the request names no model or no prompt")
+	}
+	pool, known := document.PoolOfModel(request.Model)
+	if !known || !account.MayReach(pool.Name) {
+		return Call{}, refuse(hwerror.KindUnknownModel, "the model does not exist or is not open to this account")
+	}
+	call.Pool = pool
+	call.Stream = request.Stream
+	call.Repeatable = true
+	call.Deadline = pool.QueueTimeout.Std()
+	call.Timeout = pool.AnswerTimeout.Std()
+	call.PromptTokens = float64(len(prompt)) / bytesPerToken
+	call.TokenLimit = max(request.MaxTokens, request.MaxCompletionTokens, 0)
+	call.Prefix = xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+	return call, nil
+}
+
+// serviceCall checks a call of a plain service.
+func serviceCall(document *hwdocument.Document, account hwdocument.Account, call Call) (Call, *hwerror.Refusal) {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(call.Path, servicePrefix), "/")
+	service, known := document.Service(name)
+	if !known || !account.MayReach(service.Pool) {
+		return Call{}, refuse(hwerror.KindUnknownRoute, "the service does not exist or is not open to this account")
+	}
+	path, query, _ := strings.Cut("/"+rest, "?")
+	route, pathKnown, methodKnown := service.Route(call.Method, path)
+	switch {
+	case !pathKnown:
+		return Call{}, refuse(hwerror.KindUnknownRoute, "the service has no such route")
+	case !methodKnown:
+		return Call{}, refuse(hwerror.KindMethodNotAllowed, "the route does not take this method")
+	}
+	pool, _ := document.Pool(service.Pool)
+	call.Pool = pool
+	call.Path = path
+	if query != "" {
+		call.Path = path + "?" + query
+	}
+	call.Repeatable = route.Idempotent || hwdocument.SafeMethod(call.Method)
+	call.Deadline = min(pool.QueueTimeout.Std(), route.Deadline.Std())
+	call.Timeout = route.Deadline.Std()
+	return call, nil
+}
--- /dev/null
+++ b/lib/hwlimit/speed.go
@@ -0,0 +1,135 @@
+// Package hwlimit detects slowed upstreams from what the router itself observes.
+//
+// Engines report their load with a lag, so the detector uses the time between tokens and the time to the first byte of the router's own attempts, against the median of the pool.
+package hwlimit
+
+import (
+	"slices"
+	"time"
+)
+
+// Settings are the times and thresholds of the detector.
+type Settings struct {
+	// Window is how long an observation counts.
+	Window time.Duration
+	// SlowPermille is the speed against the pool's median, in thousandths, from which an upstream counts as slow.
+	SlowPermille int
+	// RecoveredPermille is the speed below which a slow upstream counts as recovered.
+	RecoveredPermille int
+	// MinimumSamples is how many observations a judgement needs.
+	MinimumSamples int
+}
+
+type speed struct {
+	gap     float64
+	samples int
+	slow    bool
+	seenAt  time.Time
+}
+
+// Detector keeps one mean gap per upstream of a pool.
+type Detector struct {
+	settings  Settings
+	upstreams map[string]*speed
+}
+
+// New returns a detector without observations.
+func New(settings Settings) *Detector {
+	return &Detector{
+		settings:  settings,
+		upstreams: map[string]*speed{},
+	}
+}
+
+// learningRate is the weight of the newest gap in the running mean.
+const learningRate = 0.05
+
+// Observe takes the time that one cost unit took at an upstream.
+func (d *Detector) Observe(now time.Time, upstream string, gap time.Duration) {
+	row, known := d.upstreams[upstream]
+	if !known || now.Sub(row.seenAt) > d.settings.Window {
+		slow := known && row.slow
+		row = &speed{
+			slow: slow,
+		}
+		d.upstreams[upstream] = row
+	}
+	row.seenAt = now
+	row.samples++
+	rate := max(learningRate, 1/float64(row.samples))
+	row.gap += rate * (gap.Seconds() - row.gap)
+}
+
+// Forget drops an upstream that is gone.
+func (d *Detector) Forget(upstream string) { delete(d.upstreams, upstream) }
+
+// Judgement is what the detector thinks of an upstream.
+type Judgement struct {
+	Upstream string
+	// Permille is the upstream's gap against the pool's median, in thousandths; 0 is no judgement.
+	Permille int
+	Slow     bool
+	// Changed tells that Slow differs from the last judgement.
+	Changed bool
+}
+
+// Judge compares every upstream with the median of the pool.
+func (d *Detector) Judge(now time.Time) []Judgement {
+	var gaps []float64
+	var names []string
+	for name, row := range d.upstreams {
+		names = append(names, name)
+		if d.fresh(now, row) {
+			gaps = append(gaps, row.gap)
+		}
+	}
+	slices.Sort(names)
+	slices.Sort(gaps)
+	judgements := make([]Judgement, 0, len(names))
+	for _, name := range names {
+		judgements = append(judgements, d.judge(now, name, gaps))
+	}
+	return judgements
+}
+
+func (d *Detector) fresh(now time.Time, row *speed) bool {
+	return row.samples >= d.settings.MinimumSamples && now.Sub(row.seenAt) <= d.settings.Window
+}
+
+func (d *Detector) judge(now time.Time, name string, gaps []float64) Judgement {
+	row := d.upstreams[name]
+	judgement := Judgement{
+		Upstream: name,
+	}
+	// Fewer than three upstreams have no median that tells a slow one from a fast one.
+	if len(gaps) < 3 || !d.fresh(now, row) {
+		judgement.Slow = row.slow
+		return judgement
+	}
+	median := gaps[len(gaps)/2]
+	judgement.Permille = int(1000 * row.gap / max(median, 1e-9))
+	was := row.slow
+	switch {
+	case judgement.Permille >= d.settings.SlowPermille:
+		row.slow = true
+	case judgement.Permille <= d.settings.RecoveredPermille:
+		row.slow = false
+	}
+	judgement.Slow = row.slow
+	judgement.Changed = was != row.slow
+	return judgement
+}
+
+// SecondsPerUnit returns the mean time of one cost unit at an upstream in seconds, or 0 without observations.
+func (d *Detector) SecondsPerUnit(upstream string) float64 {
+	if row, known := d.upstreams[upstream]; known {
+		return row.gap
+	}
+	return 0
+}
+
+// Slow reports whether an upstream counts as slow.
+func (d *Detector) Slow(upstream string) bool {
+	row, known := d.upstreams[upstream]
+	return known && row.slow
+}
--- /dev/null
+++ b/lib/hwpeer/convert.go
@@ -0,0 +1,155 @@
+package hwpeer
+
+import (
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwmember"
+	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
+	"github.com/hickorywick/hickorywick/lib/hwslot"
+)
+
+func each[A, B any](in []A, convert func(A) B) []B {
+	out := make([]B, 0, len(in))
+	for _, item := range in {
+		out = append(out, convert(item))
+	}
+	return out
+}
+
+func upstreamToWire(r hwslot.UpstreamRow) *hwpeerpb.UpstreamRow {
+	return &hwpeerpb.UpstreamRow{
+		Upstream:     r.Upstream,
+		Held:         uint32(r.Held),
+		InUse:        uint32(r.InUse),
+		SlowPermille: uint32(r.SlowPermille),
+	}
+}
+
+func upstreamFromWire(r *hwpeerpb.UpstreamRow) hwslot.UpstreamRow {
+	return hwslot.UpstreamRow{
+		Upstream:     r.GetUpstream(),
+		Held:         int(r.GetHeld()),
+		InUse:        int(r.GetInUse()),
+		SlowPermille: int(r.GetSlowPermille()),
+	}
+}
+
+func accountToWire(r hwslot.AccountRow) *hwpeerpb.AccountRow {
+	return &hwpeerpb.AccountRow{
+		Account:      r.Account,
+		Waiting:      uint32(r.Waiting),
+		Running:      uint32(r.Running),
+		OldestWaitMs: uint64(r.OldestWait.Milliseconds()),
+		Service:      r.Service,
+		Pending:      r.Pending,
+	}
+}
+
+func accountFromWire(r *hwpeerpb.AccountRow) hwslot.AccountRow {
+	return hwslot.AccountRow{
+		Account:    r.GetAccount(),
+		Waiting:    int(r.GetWaiting()),
+		Running:    int(r.GetRunning()),
+		OldestWait: time.Duration(r.GetOldestWaitMs()) * time.Millisecond,
+		Service:    r.GetService(),
+		Pending:    r.GetPending(),
+	}
+}
+
+func counterToWire(r hwslot.CounterRow) *hwpeerpb.CounterRow {
+	return &hwpeerpb.CounterRow{
+		Account: r.Account,
+		Counter: r.Counter,
+	}
+}
+
+func counterFromWire(r *hwpeerpb.CounterRow) hwslot.CounterRow {
+	return hwslot.CounterRow{
+		Account: r.GetAccount(),
+		Counter: r.GetCounter(),
+	}
+}
+
+// ReportToWire returns a report as a message.
+func ReportToWire(r hwslot.Report) *hwpeerpb.ReportRequest {
+	return &hwpeerpb.ReportRequest{
+		Instance:  r.Instance,
+		Boot:      r.Boot,
+		Pool:      r.Pool,
+		Sequence:  r.Sequence,
+		Full:      r.Full,
+		Upstreams: each(r.Upstreams, upstreamToWire),
+		Accounts:  each(r.Accounts, accountToWire),
+		View:      each(r.View, counterToWire),
+		Leaving:   r.Leaving,
+	}
+}
+
+// ReportFromWire returns a message as a report.
+func ReportFromWire(r *hwpeerpb.ReportRequest) hwslot.Report {
+	return hwslot.Report{
+		Instance:  r.GetInstance(),
+		Boot:      r.GetBoot(),
+		Pool:      r.GetPool(),
+		Sequence:  r.GetSequence(),
+		Full:      r.GetFull(),
+		Upstreams: each(r.GetUpstreams(), upstreamFromWire),
+		Accounts:  each(r.GetAccounts(), accountFromWire),
+		View:      each(r.GetView(), counterFromWire),
+		Leaving:   r.GetLeaving(),
+	}
+}
+
+// GrantToWire returns a grant as a message.
+func GrantToWire(g hwslot.Grant) *hwpeerpb.ReportReply {
+	return &hwpeerpb.ReportReply{
+		NotBroker:  g.NotBroker,
+		ResendFull: g.ResendFull,
+		Sequence:   g.Sequence,
+		LeaseMs:    uint64(g.Lease.Milliseconds()),
+		Fleet:      uint32(g.Fleet),
+		Upstreams:  each(g.Upstreams, upstreamToWire),
+		Counters:   each(g.Counters, counterToWire),
+	}
+}
+
+// GrantFromWire returns a message as a grant.
+func GrantFromWire(g *hwpeerpb.ReportReply) hwslot.Grant {
+	return hwslot.Grant{
+		NotBroker:  g.GetNotBroker(),
+		ResendFull: g.GetResendFull(),
+		Sequence:   g.GetSequence(),
+		Lease:      time.Duration(g.GetLeaseMs()) * time.Millisecond,
+		Fleet:      int(g.GetFleet()),
+		Upstreams:  each(g.GetUpstreams(), upstreamFromWire),
+		Counters:   each(g.GetCounters(), counterFromWire),
+	}
+}
+
+func memberToWire(r hwmember.Row) *hwpeerpb.MemberRow {
+	return &hwpeerpb.MemberRow{
+		Instance:    r.Instance,
+		Address:     r.Address,
+		Zone:        r.Zone,
+		Boot:        r.Boot,
+		Incarnation: r.Incarnation,
+		State:       uint32(r.State),
+	}
+}
+
+func memberFromWire(r *hwpeerpb.MemberRow) hwmember.Row {
+	return hwmember.Row{
+		Instance:    r.GetInstance(),
+		Address:     r.GetAddress(),
+		Zone:        r.GetZone(),
+		Boot:        r.GetBoot(),
+		Incarnation: r.GetIncarnation(),
+		State:       min(hwmember.State(r.GetState()), hwmember.Left),
+	}
+}
+
+// MembersToWire returns membership rows as messages.
+func MembersToWire(rows []hwmember.Row) []*hwpeerpb.MemberRow { return each(rows, memberToWire) }
+
+// MembersFromWire returns messages as membership rows.
+func MembersFromWire(rows []*hwpeerpb.MemberRow) []hwmember.Row { return each(rows, memberFromWire) }
--- /dev/null
+++ b/lib/hwrouter/operators.go
@@ -0,0 +1,122 @@
+package hwrouter
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwdispatch"
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+)
+
+// Status is what the operators' listener says about an instance.
+type Status struct {
+	Instance string              `json:"instance"`
+	Zone     string              `json:"zone"`
+	Boot     uint64              `json:"boot"`
+	Ready    bool                `json:"ready"`
+	Version  uint64              `json:"version"`
+	Digest   string              `json:"digest"`
+	Members  []MemberStatus      `json:"members"`
+	Pools    []hwdispatch.Status `json:"pools"`
+	Brokers  map[string]string   `json:"brokers"`
+	Gaps     map[string]float64  `json:"gaps"`
+}
+
+// MemberStatus is one instance in this instance's view.
+type MemberStatus struct {
+	Instance string `json:"instance"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	State    string `json:"state"`
+}
+
+// Status returns the instance's state.
+func (r *Router) Status(time.Time) Status {
+	number, digest := r.Version()
+	status := Status{
+		Instance: r.settings.Instance,
+		Zone:     r.settings.Zone,
+		Boot:     r.settings.Boot,
+		Ready:    r.Ready(),
+		Version:  number,
+		Digest:   digest,
+		Brokers:  map[string]string{},
+		Gaps:     map[string]float64{},
+	}
+	r.membersLock.Lock()
+	rows := r.table.All()
+	r.membersLock.Unlock()
+	for _, row := range rows {
+		status.Members = append(status.Members, MemberStatus{
+			Instance: row.Instance,
+			Address:  row.Address,
+			Zone:     row.Zone,
+			State:    row.State.String(),
+		})
+	}
+	for _, p := range r.allPools() {
+		status.Pools = append(status.Pools, p.status())
+		status.Brokers[p.name] = r.brokerOf(p.name)
+	}
+	for name, gap := range r.gaps() {
+		status.Gaps[name] = gap
+	}
+	return status
+}
+
+// gaps returns the present fairness gap of the pools that this instance brokers, in cost units per share.
+func (r *Router) gaps() map[string]float64 {
+	r.poolsLock.RLock()
+	defer r.poolsLock.RUnlock()
+	gaps := map[string]float64{}
+	for name, h := range r.brokers {
+		h.lock.Lock()
+		gaps[name] = h.broker.Gap()
+		h.lock.Unlock()
+	}
+	return gaps
+}
+
+// operatorsHandler serves health, metrics and reports.
+func (r *Router) operatorsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !r.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /debug/vars", r.operatorsOnly(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// An operator that is gone does not need the rest.
+		_ = r.WriteMetrics(time.Now(), w)
+	}))
+	mux.Handle("GET /status", r.operatorsOnly(func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, r.Status(time.Now()))
+	}))
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// An operator that is gone does not need the rest.
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// operatorsOnly lets calls with the operators' key through; health and readiness need none, because the balancer asks for them.
+func (r *Router) operatorsOnly(next http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		key := strings.TrimPrefix(request.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(key), []byte(r.settings.OperatorKey)) != 1 {
+			r.logger.Emit(hwevent.OperatorUnknown, hwevent.With("path", request.URL.Path))
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		next(w, request)
+	})
+}
--- /dev/null
+++ b/lib/hwrouter/peers.go
@@ -0,0 +1,74 @@
+package hwrouter
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/lib/hwpeer"
+	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
+)
+
+// Report answers a router's report as the broker of its pool.
+func (r *Router) Report(ctx context.Context, in *hwpeerpb.ReportRequest) (*hwpeerpb.ReportReply, error) {
+	grant := r.takeReport(ctx, time.Now(), hwpeer.ReportFromWire(in))
+	return hwpeer.GrantToWire(grant), nil
+}
+
+// Gossip answers a probe, or probes a target for the sender, and exchanges membership rows and the document's version.
+func (r *Router) Gossip(ctx context.Context, in *hwpeerpb.GossipRequest) (*hwpeerpb.GossipReply, error) {
+	r.withTable(func(now time.Time) { r.table.Merge(now, hwpeer.MembersFromWire(in.GetMembers())) })
+	reached := true
+	if in.GetTarget() != "" && in.GetTarget() != r.settings.Instance {
+		row, known := r.lookup(in.GetTarget())
+		reached = known && r.exchange(ctx, row, "", nil) == nil
+	}
+	if from, known := r.lookup(in.GetFrom()); known {
+		number, digest := in.GetDocumentVersion(), in.GetDocumentDigest()
+		if inForce, _ := r.Version(); number > inForce {
+			r.own(func(ctx context.Context) error {
+				r.offeredByPeer(ctx, from.Address, number, digest)
+				return nil
+			})
+		}
+	}
+	r.membersLock.Lock()
+	rows := r.table.Rows()
+	r.membersLock.Unlock()
+	number, digest := r.Version()
+	return &hwpeerpb.GossipReply{
+		Reached:         reached,
+		Members:         hwpeer.MembersToWire(rows),
+		DocumentVersion: number,
+		DocumentDigest:  digest,
+	}, nil
+}
+
+// Intend is answered by the owner of the key's partition.
+func (r *Router) Intend(context.Context, *hwpeerpb.IntendRequest) (*hwpeerpb.IntendReply, error) {
+	return nil, trace.NotImplemented("keyed requests are not recorded yet")
+}
+
+// Conclude is answered by the owner of the key's partition.
+func (r *Router) Conclude(context.Context, *hwpeerpb.ConcludeRequest) (*hwpeerpb.ConcludeReply, error) {
+	return nil, trace.NotImplemented("keyed requests are not recorded yet")
+}
+
+// documentQuery answers peers; its Document method differs from the router's own.
+type documentQuery struct {
+	*Router
+}
+
+// Document returns the document in force if it is above the asked version.
+func (q documentQuery) Document(_ context.Context, in *hwpeerpb.DocumentRequest) (*hwpeerpb.DocumentReply, error) {
+	current := q.inForce.Load()
+	if current == nil || current.Number <= in.GetAboveVersion() {
+		return &hwpeerpb.DocumentReply{}, nil
+	}
+	return &hwpeerpb.DocumentReply{
+		Version: current.Number,
+		Digest:  current.Digest,
+		Body:    current.Body,
+	}, nil
+}
--- /dev/null
+++ b/lib/hwrouter/serve.go
@@ -0,0 +1,364 @@
+package hwrouter
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/hickorywick/hickorywick/lib/hwdispatch"
+	"github.com/hickorywick/hickorywick/lib/hwdocument"
+	"github.com/hickorywick/hickorywick/lib/hwerror"
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwintake"
+	"github.com/hickorywick/hickorywick/lib/hwretry"
+	"github.com/hickorywick/hickorywick/lib/hwupstream"
+)
+
+// The bounds of what is held of an answer.
+const (
+	largestAnswer = 32 << 20
+	largestEvent  = 1 << 20
+)
+
+// delivery is the state of one request on its way through the router.
+type delivery struct {
+	router *Router
+	call   hwintake.Call
+	pool   *pool
+	writer http.ResponseWriter
+	// attempts counts the attempts made.
+	attempts int
+	excluded []string
+	// events counts the events of a stream that the caller has.
+	events int
+	// lastEventID is the id of the last of them, by which an upstream resumes.
+	lastEventID string
+	// headed tells that the head of the answer was written.
+	headed bool
+	// cost is the cost of the request so far; base is the part that earlier attempts were charged.
+	cost float64
+	base float64
+	// resume tells that the next attempt continues the answer.
+	resume bool
+}
+
+// Serve runs a call from its wait for a slot to the last byte of its answer.
+func (r *Router) Serve(ctx context.Context, call hwintake.Call, writer http.ResponseWriter) {
+	r.metrics.requests.Add(1)
+	d := &delivery{
+		router: r,
+		call:   call,
+		pool:   r.pool(call.Pool.Name),
+		writer: writer,
+	}
+	if d.pool == nil {
+		d.refuse(hwerror.Refuse(hwerror.KindUnknownModel, hwevent.RequestRefused.Number, "the pool is not in force any more"))
+		return
+	}
+	d.pool.earn(time.Now())
+	if refusal := d.run(ctx); refusal != nil {
+		d.refuse(refusal)
+		return
+	}
+	r.metrics.outcomes.Add(string(hwerror.Ran), 1)
+}
+
+// run makes attempts until one ends well or none may follow.
+func (d *delivery) run(ctx context.Context) *hwerror.Refusal {
+	deadline := time.Now().Add(d.call.Deadline)
+	for {
+		d.attempts++
+		id := d.call.ID + "." + strconv.Itoa(d.attempts) + "." + hwintake.NewID()[:8]
+		upstream, refusal := d.pool.acquire(ctx, time.Now(), d.request(id, deadline))
+		if refusal != nil {
+			return d.afterHandOver(refusal)
+		}
+		failure := d.attempt(ctx, id, upstream)
+		if failure == nil {
+			return nil
+		}
+		if !d.again(ctx, failure) {
+			return d.verdict(ctx, failure)
+		}
+	}
+}
+
+func (d *delivery) request(id string, deadline time.Time) hwdispatch.Request {
+	hint := 0.0
+	if d.call.TokenLimit > 0 {
+		hint = d.call.PromptTokens*d.call.Pool.PromptWeight + d.call.TokenLimit*d.call.Pool.GeneratedWeight
+	}
+	return hwdispatch.Request{
+		ID:       id,
+		Account:  d.call.Account.Name,
+		Hint:     hint,
+		Prompt:   d.call.PromptTokens * d.call.Pool.PromptWeight,
+		Deadline: deadline,
+		Prefix:   d.call.Prefix,
+		Excluded: d.excluded,
+		Again:    d.attempts > 1,
+	}
+}
+
+// afterHandOver corrects a refusal to wait again: what an earlier attempt handed over may have run.
+func (d *delivery) afterHandOver(refusal *hwerror.Refusal) *hwerror.Refusal {
+	if len(d.excluded) == 0 {
+		return refusal
+	}
+	corrected := *refusal
+	corrected.Execution = hwerror.Unknown
+	return &corrected
+}
+
+// again decides whether another attempt follows a failed one.
+func (d *delivery) again(ctx context.Context, failure *hwupstream.Error) bool {
+	next := hwretry.Decide(hwretry.Attempt{
+		Number:     d.attempts,
+		Repeatable: d.call.Repeatable,
+		HandedOver: failure.HandedOver,
+		Answered:   d.headed,
+		Resumable:  d.call.Pool.ResumesStreams && d.lastEventID != "",
+		CallerGone: ctx.Err() != nil,
+	})
+	if next == hwretry.Stop || !d.pool.spend(time.Now()) {
+		return false
+	}
+	if failure.HandedOver {
+		d.excluded = append(d.excluded, failure.Upstream)
+	}
+	d.resume = next == hwretry.Resume
+	d.router.metrics.retries.Add(1)
+	if d.resume {
+		d.router.metrics.resumes.Add(1)
+	}
+	d.router.logger.Emit(hwevent.UpstreamRanAgain, hwevent.With("request", d.call.ID), hwevent.With("failed", failure.Upstream))
+	return true
+}
+
+// verdict turns the last failure into what the caller is told.
+func (d *delivery) verdict(ctx context.Context, failure *hwupstream.Error) *hwerror.Refusal {
+	execution := hwerror.Unknown
+	kind := hwerror.KindUpstreamFailed
+	number := hwevent.OutcomeUnknown.Number
+	message := "the upstream did not give a whole answer; it is not known whether the request ran"
+	switch {
+	case ctx.Err() != nil:
+		kind = hwerror.KindCallerGone
+	case !failure.HandedOver && len(d.excluded) == 0:
+		execution = hwerror.NotRun
+		kind = hwerror.KindNoUpstream
+		number = hwevent.UpstreamFailed.Number
+		message = "no upstream could be reached; the request did not run"
+	case failure.Crossed:
+		kind = hwerror.KindAnswerCrossed
+		number = hwevent.AnswerCrossed.Number
+	}
+	return hwerror.Fail(kind, execution, number, message, failure)
+}
+
+// refuse tells the caller how the request ended. In a stream that has begun the error is its last event, and the end mark is missing.
+func (d *delivery) refuse(refusal *hwerror.Refusal) {
+	r := d.router
+	r.metrics.outcomes.Add(string(refusal.Execution), 1)
+	r.metrics.refusals.Add(string(refusal.Kind), 1)
+	event := hwevent.RequestRefused
+	if refusal.Execution == hwerror.Unknown {
+		event = hwevent.OutcomeUnknown
+	}
+	r.logger.Emit(event,
+		hwevent.With("request", d.call.ID),
+		hwevent.With("account", d.call.Account.Name),
+		hwevent.With("kind", string(refusal.Kind)),
+		hwevent.With("execution", string(refusal.Execution)))
+	if !d.headed {
+		hwintake.WriteRefusal(d.writer, refusal)
+		return
+	}
+	if d.call.Stream {
+		_ = d.write("", "error", string(hwintake.RefusalJSON(refusal)))
+		return
+	}
+	// Part of a whole answer is out: cutting the connection is the only way left to say that the rest will not come.
+	panic(http.ErrAbortHandler)
+}
+
+// attempt runs the request at an upstream and settles its cost.
+func (d *delivery) attempt(ctx context.Context, id, upstream string) *hwupstream.Error {
+	silence := d.call.Timeout
+	if d.call.Stream {
+		silence = min(silence, d.call.Pool.ProgressTimeout.Std())
+	}
+	began := time.Now()
+	header := d.call.Header
+	if d.resume {
+		header = header.Clone()
+		header.Set("Last-Event-Id", d.lastEventID)
+	}
+	answer, err := d.router.upstreams.Do(ctx, hwupstream.Attempt{
+		ID:         id,
+		Upstream:   upstream,
+		Method:     d.call.Method,
+		Path:       d.call.Path,
+		Header:     header,
+		Body:       d.call.Body,
+		Repeatable: d.call.Repeatable,
+		Silence:    silence,
+	})
+	if err == nil {
+		err = d.relay(id, answer)
+		answer.Close()
+	}
+	now := time.Now()
+	if d.call.Pool.Kind == hwdocument.KindService {
+		d.cost += float64(now.Sub(began).Microseconds()) / 1000 * d.call.Pool.MillisecondWeight
+	}
+	d.pool.finish(now, id, hwdispatch.Finish{
+		Cost:   d.cost - d.base,
+		Failed: err != nil,
+	})
+	d.base = d.cost
+	if err == nil {
+		return nil
+	}
+	failure := d.failure(upstream, err)
+	d.logFailure(failure)
+	return failure
+}
+
+// failure returns err as an upstream failure; a caller that stopped reading ends the attempt too.
+func (d *delivery) failure(upstream string, err error) *hwupstream.Error {
+	var failure *hwupstream.Error
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return &hwupstream.Error{
+		Upstream:   upstream,
+		HandedOver: true,
+		Cause:      err,
+	}
+}
+
+func (d *delivery) logFailure(failure *hwupstream.Error) {
+	event := hwevent.UpstreamFailed
+	if failure.Crossed {
+		event = hwevent.AnswerCrossed
+	}
+	d.router.logger.Emit(event,
+		hwevent.With("request", d.call.ID),
+		hwevent.With("upstream", failure.Upstream),
+		hwevent.With("handed-over", failure.HandedOver),
+		hwevent.With("error", failure.Cause.Error()))
+}
+
+// relay passes an answer on.
+func (d *delivery) relay(id string, answer *hwupstream.Answer) error {
+	if answer.IsStream() {
+		return d.relayStream(id, answer)
+	}
+	body, err := answer.Whole(largestAnswer)
+	if err != nil {
+		return err
+	}
+	d.cost = max(d.cost, d.wholeCost(body))
+	hwintake.CopyHeader(d.writer.Header(), answer.Header)
+	d.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	d.writer.Header().Set(hwintake.ExecutionHeader, string(hwerror.Ran))
+	d.headed = true
+	d.writer.WriteHeader(answer.Status)
+	if _, err := d.writer.Write(body); err != nil {
+		return err
+	}
+	return nil
+}
+
+func (d *delivery) relayStream(id string, answer *hwupstream.Answer) error {
+	d.router.metrics.streaming.Add(1)
+	defer d.router.metrics.streaming.Add(-1)
+	if !d.headed {
+		hwintake.CopyHeader(d.writer.Header(), answer.Header)
+		d.writer.Header().Set(hwintake.ExecutionHeader, string(hwerror.Ran))
+		d.headed = true
+		d.writer.WriteHeader(answer.Status)
+		d.cost = d.call.PromptTokens * d.call.Pool.PromptWeight
+	}
+	return answer.Events(largestEvent, func(event sse.Event) error {
+		d.events++
+		if event.LastEventID != "" {
+			d.lastEventID = event.LastEventID
+		}
+		if event.Data != hwupstream.EndMark {
+			d.cost += d.call.Pool.GeneratedWeight
+			if settled := d.usageCost(event.Data); settled > 0 {
+				d.cost = max(d.cost, settled)
+			}
+			d.pool.progress(time.Now(), id, d.cost-d.base)
+		}
+		return d.write(d.lastEventID, event.Type, event.Data)
+	})
+}
+
+// write sends one event to the caller.
+func (d *delivery) write(id, kind, data string) error {
+	var b strings.Builder
+	if id != "" {
+		b.WriteString("id: ")
+		b.WriteString(id)
+		b.WriteByte('\n')
+	}
+	if kind != "" {
+		b.WriteString("event: ")
+		b.WriteString(kind)
+		b.WriteByte('\n')
+	}
+	for line := range strings.SplitSeq(data, "\n") {
+		b.WriteString("data: ")
+		b.WriteString(line)
+		b.WriteByte('\n')
+	}
+	b.WriteByte('\n')
+	if _, err := d.writer.Write([]byte(b.String())); err != nil {
+		return err
+	}
+	if flusher, can := d.writer.(http.Flusher); can {
+		flusher.Flush()
+	}
+	return nil
+}
+
+type usageAnswer struct {
+	Usage *struct {
+		PromptTokens     float64 `json:"prompt_tokens"`
+		CompletionTokens float64 `json:"completion_tokens"`
+	} `json:"usage"`
+}
+
+// usageCost returns the cost that a piece of an answer states, or 0 if it states none.
+func (d *delivery) usageCost(text string) float64 {
+	if !strings.Contains(text, `"usage"`) || strings.Contains(text, `"usage":null`) {
+		return 0
+	}
+	var stated usageAnswer
+	if err := json.Unmarshal([]byte(text), &stated); err != nil || stated.Usage == nil {
+		return 0
+	}
+	return stated.Usage.PromptTokens*d.call.Pool.PromptWeight + stated.Usage.CompletionTokens*d.call.Pool.GeneratedWeight
+}
+
+// bytesPerToken is the rough size of a token in an answer that states no usage.
+const bytesPerToken = 4
+
+func (d *delivery) wholeCost(body []byte) float64 {
+	if d.call.Pool.Kind == hwdocument.KindService {
+		return 0
+	}
+	if cost := d.usageCost(string(body)); cost > 0 {
+		return cost
+	}
+	return d.call.PromptTokens*d.call.Pool.PromptWeight + float64(len(body))/bytesPerToken*d.call.Pool.GeneratedWeight
+}
--- /dev/null
+++ b/lib/hwrouter/settings.go
@@ -0,0 +1,129 @@
+// Package hwrouter assembles a router: it owns the listeners, the shared tables and the goroutines that carry out what the decision packages decide.
+//
+// Lock order: the membership lock, then a broker's lock, then a pool's lock. No lock is held while a message is sent or a file or socket is read.
+package hwrouter
+
+import (
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwpeer"
+	"github.com/hickorywick/hickorywick/lib/hwstore"
+)
+
+// Coordination is how routers share the slots of a pool.
+type Coordination string
+
+const (
+	// Leased moves slots between routers on lease. It is what the product uses.
+	Leased Coordination = "leased"
+	// Static gives each router an equal part of every upstream; counters are shared. It is a baseline for measurements.
+	Static Coordination = "static"
+	// Local gives each router an equal part and its own counters only. It is a baseline for measurements.
+	Local Coordination = "local"
+)
+
+// Settings are a router's settings.
+type Settings struct {
+	Instance    string
+	Zone        string
+	Environment string
+	Boot        uint64
+	// PeersAddress is the IP number and port at which other routers reach this one.
+	PeersAddress string
+	// InstanceList is the URL of the platform's list of instances, or empty for a single instance.
+	InstanceList string
+	OperatorKey  string
+	Coordination Coordination
+	Gain         float64
+	Security     hwpeer.Security
+	Times        Times
+	BodyBytes    int64
+}
+
+// Times are a router's spans of time.
+type Times struct {
+	Lease         time.Duration
+	ReportEvery   time.Duration
+	Heartbeat     time.Duration
+	ProbeEvery    time.Duration
+	SuspectFor    time.Duration
+	PeerTimeout   time.Duration
+	DialTimeout   time.Duration
+	ListEvery     time.Duration
+	StoreRecheck  time.Duration
+	DrainGrace    time.Duration
+	HeaderTimeout time.Duration
+}
+
+// DefaultTimes are the times for instances in one region.
+func DefaultTimes() Times {
+	return Times{
+		Lease:         2 * time.Second,
+		ReportEvery:   50 * time.Millisecond,
+		Heartbeat:     500 * time.Millisecond,
+		ProbeEvery:    200 * time.Millisecond,
+		SuspectFor:    time.Second,
+		PeerTimeout:   300 * time.Millisecond,
+		DialTimeout:   time.Second,
+		ListEvery:     time.Second,
+		StoreRecheck:  10 * time.Second,
+		DrainGrace:    5 * time.Second,
+		HeaderTimeout: 10 * time.Second,
+	}
+}
+
+// DefaultGain is how fast a lag is made good, per second. Multiplied by the report interval it stays well under one.
+const DefaultGain = 4
+
+// DefaultBodyBytes is the largest request body.
+const DefaultBodyBytes = 8 << 20
+
+// Listeners are the open sockets of a router. Operators may be nil.
+type Listeners struct {
+	Callers   net.Listener
+	Peers     net.Listener
+	Operators net.Listener
+}
+
+// Dependencies are what a router works with. Store may be nil when the document comes from a file.
+type Dependencies struct {
+	Listeners Listeners
+	Store     hwstore.Store
+	Calls     *hwstore.Calls
+	Logger    *hwevent.Logger
+	// Dial opens connections to peers and to the instance list; nil stands for the network itself.
+	Dial hwpeer.Dial
+}
+
+// Check returns what is wrong with the settings, or nil.
+func (s Settings) Check() error {
+	var faults []error
+	if s.Instance == "" {
+		faults = append(faults, trace.BadParameter("instance must not be empty"))
+	}
+	if s.Zone == "" {
+		faults = append(faults, trace.BadParameter("zone must not be empty"))
+	}
+	if _, err := net.ResolveTCPAddr("tcp", s.PeersAddress); err != nil {
+		faults = append(faults, trace.BadParameter("peers-address %q is not an IP number and a port", s.PeersAddress))
+	}
+	if s.Coordination != Leased && s.Coordination != Static && s.Coordination != Local {
+		faults = append(faults, trace.BadParameter("coordination %q is not leased, static or local", s.Coordination))
+	}
+	if s.Security.SharedKey == "" && s.Security.TLS == nil && !isLoopback(s.PeersAddress) {
+		faults = append(faults, trace.BadParameter("peers-address is not loopback, so a shared key or certificates are needed"))
+	}
+	if s.Times.ReportEvery <= 0 || s.Times.Lease < 4*s.Times.Heartbeat {
+		faults = append(faults, trace.BadParameter("lease must last at least four heartbeats"))
+	}
+	return trace.NewAggregate(faults...)
+}
+
+func isLoopback(address string) bool {
+	tcp, err := net.ResolveTCPAddr("tcp", address)
+	return err == nil && tcp.IP.IsLoopback()
+}
--- /dev/null
+++ b/lib/hwshare/estimator.go
@@ -0,0 +1,53 @@
+package hwshare
+
+import "math"
+
+// learningRate is the weight of the newest cost in a running mean.
+const learningRate = 0.1
+
+// Estimator learns what requests cost, per account and over the pool.
+// A hint, such as the caller's token limit, only bounds what was learned: it never raises it.
+type Estimator struct {
+	initial  float64
+	accounts map[string]float64
+	pool     float64
+}
+
+// NewEstimator returns an estimator whose first estimate, in cost units, is initial.
+func NewEstimator(initial float64) *Estimator {
+	return &Estimator{
+		initial:  initial,
+		accounts: map[string]float64{},
+	}
+}
+
+// Estimate returns the expected cost in cost units. A hint of zero is no hint.
+func (e *Estimator) Estimate(account string, hint float64) float64 {
+	learned := e.initial
+	if e.pool > 0 {
+		learned = e.pool
+	}
+	if own, known := e.accounts[account]; known {
+		learned = own
+	}
+	if hint > 0 {
+		return math.Min(learned, hint)
+	}
+	return learned
+}
+
+// Learn takes the cost of a finished request in cost units.
+func (e *Estimator) Learn(account string, cost float64) {
+	e.pool = mix(e.pool, cost)
+	e.accounts[account] = mix(e.accounts[account], cost)
+}
+
+// Mean returns the pool's mean cost in cost units, or zero before the first request ended.
+func (e *Estimator) Mean() float64 { return e.pool }
+
+func mix(mean, sample float64) float64 {
+	if mean == 0 {
+		return sample
+	}
+	return mean + learningRate*(sample-mean)
+}
--- /dev/null
+++ b/lib/hwshare/queue.go
@@ -0,0 +1,192 @@
+package hwshare
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Lane separates short from long work within an account.
+type Lane int
+
+const (
+	// Short is work that is expected to end soon.
+	Short Lane = iota
+	// Long is work that is expected to hold a slot for long.
+	Long
+	laneCount
+)
+
+// Entry is one waiting item.
+type Entry[T any] struct {
+	ID       string
+	Account  string
+	Lane     Lane
+	Arrived  time.Time
+	Deadline time.Time
+	Item     T
+}
+
+// Queue holds waiting items per account and lane. It decides order within an account; which account goes first is the caller's decision.
+type Queue[T any] struct {
+	accounts map[string]*[laneCount][]Entry[T]
+	waiting  map[string]int
+	// patience is how long short work goes before long work that arrived earlier.
+	patience time.Duration
+}
+
+// NewQueue returns an empty queue.
+func NewQueue[T any](patience time.Duration) *Queue[T] {
+	return &Queue[T]{
+		accounts: map[string]*[laneCount][]Entry[T]{},
+		waiting:  map[string]int{},
+		patience: patience,
+	}
+}
+
+// Push adds an entry at the end of its lane.
+func (q *Queue[T]) Push(entry Entry[T]) {
+	lanes := q.lanes(entry.Account)
+	lanes[entry.Lane] = append(lanes[entry.Lane], entry)
+	q.waiting[entry.Account]++
+}
+
+// PushFront puts an entry before all others of its lane, for work that is sent again.
+func (q *Queue[T]) PushFront(entry Entry[T]) {
+	lanes := q.lanes(entry.Account)
+	lanes[entry.Lane] = slices.Insert(lanes[entry.Lane], 0, entry)
+	q.waiting[entry.Account]++
+}
+
+func (q *Queue[T]) lanes(account string) *[laneCount][]Entry[T] {
+	lanes, known := q.accounts[account]
+	if !known {
+		lanes = &[laneCount][]Entry[T]{}
+		q.accounts[account] = lanes
+	}
+	return lanes
+}
+
+// Waiting returns how many entries of an account wait.
+func (q *Queue[T]) Waiting(account string) int { return q.waiting[account] }
+
+// Accounts returns the accounts with waiting work, sorted by name so that decisions repeat exactly.
+func (q *Queue[T]) Accounts() []string {
+	names := make([]string, 0, len(q.waiting))
+	for name, count := range q.waiting {
+		if count > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Peek returns the account's next entry. When long work is not allowed only the short lane is looked at.
+func (q *Queue[T]) Peek(account string, longAllowed bool) (Entry[T], bool) {
+	lane, found := q.next(account, longAllowed)
+	if !found {
+		return Entry[T]{}, false
+	}
+	return q.accounts[account][lane][0], true
+}
+
+// next picks the lane whose head goes first: long work counts as having arrived later by the patience.
+func (q *Queue[T]) next(account string, longAllowed bool) (Lane, bool) {
+	lanes, known := q.accounts[account]
+	if !known {
+		return Short, false
+	}
+	short, long := lanes[Short], lanes[Long]
+	switch {
+	case len(short) == 0 && (len(long) == 0 || !longAllowed):
+		return Short, false
+	case len(short) == 0:
+		return Long, true
+	case len(long) == 0 || !longAllowed:
+		return Short, true
+	case long[0].Arrived.Add(q.patience).Before(short[0].Arrived):
+		return Long, true
+	default:
+		return Short, true
+	}
+}
+
+// Pop removes and returns the account's next entry.
+func (q *Queue[T]) Pop(account string, longAllowed bool) (Entry[T], bool) {
+	lane, found := q.next(account, longAllowed)
+	if !found {
+		return Entry[T]{}, false
+	}
+	lanes := q.accounts[account]
+	entry := lanes[lane][0]
+	lanes[lane] = lanes[lane][1:]
+	q.forget(account)
+	return entry, true
+}
+
+func (q *Queue[T]) forget(account string) {
+	q.waiting[account]--
+	if q.waiting[account] == 0 {
+		delete(q.waiting, account)
+		delete(q.accounts, account)
+	}
+}
+
+// Remove takes an entry out wherever it stands and reports whether it was there.
+func (q *Queue[T]) Remove(account, id string) bool {
+	lanes, known := q.accounts[account]
+	if !known {
+		return false
+	}
+	for lane := range lanes {
+		i := slices.IndexFunc(lanes[lane], func(e Entry[T]) bool { return e.ID == id })
+		if i < 0 {
+			continue
+		}
+		lanes[lane] = slices.Delete(lanes[lane], i, i+1)
+		q.forget(account)
+		return true
+	}
+	return false
+}
+
+// Expire removes and returns every entry whose deadline has passed.
+func (q *Queue[T]) Expire(now time.Time) []Entry[T] {
+	var expired []Entry[T]
+	for _, account := range q.Accounts() {
+		lanes := q.accounts[account]
+		for lane := range lanes {
+			kept := lanes[lane][:0:0]
+			for _, entry := range lanes[lane] {
+				if entry.Deadline.After(now) {
+					kept = append(kept, entry)
+					continue
+				}
+				expired = append(expired, entry)
+			}
+			lanes[lane] = kept
+		}
+	}
+	for _, entry := range expired {
+		q.forget(entry.Account)
+	}
+	return expired
+}
+
+// Oldest returns the arrival of the account's oldest entry.
+func (q *Queue[T]) Oldest(account string) (time.Time, bool) {
+	lanes, known := q.accounts[account]
+	if !known {
+		return time.Time{}, false
+	}
+	oldest := time.Unix(math.MaxInt32, 0)
+	found := false
+	for lane := range lanes {
+		if len(lanes[lane]) > 0 && lanes[lane][0].Arrived.Before(oldest) {
+			oldest = lanes[lane][0].Arrived
+			found = true
+		}
+	}
+	return oldest, found
+}
--- /dev/null
+++ b/lib/hwslot/broker.go
@@ -0,0 +1,270 @@
+package hwslot
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwshare"
+)
+
+// BrokerSettings are the broker's times and its policy.
+type BrokerSettings struct {
+	Pool string
+	// Lease is how long a router may use its slots after its last answered report.
+	Lease time.Duration
+	// Listen is how long a new broker only listens, to rebuild its tables from reports before it grants anything new.
+	Listen time.Duration
+	// Replan is the shortest time between two computations of the aims.
+	Replan time.Duration
+	// CatchUp is the cap on what an account may catch up, in cost units per share.
+	CatchUp float64
+	// Static grants every member its floor and moves nothing. It is a baseline for measurements.
+	Static bool
+	Policy Policy
+}
+
+type holding struct {
+	held  int
+	inUse int
+}
+
+type router struct {
+	origin    hwshare.Origin
+	sequence  uint64
+	reported  time.Time
+	upstreams map[string]holding
+	accounts  map[string]AccountRow
+	// counters is what the router was last told, so that a reply holds only what changed.
+	counters map[string]float64
+}
+
+// Broker leases the slots of one pool.
+type Broker struct {
+	settings BrokerSettings
+	started  time.Time
+	limits   map[string]int
+	names    []string
+	members  map[string]bool
+	routers  map[string]*router
+	counters *hwshare.Counters
+	ledger   *hwshare.Ledger
+	planned  time.Time
+	targets  map[string]float64
+	pending  map[string]float64
+	// rate is the service of one slot in cost units a second.
+	rate      float64
+	rateTotal float64
+	rateAt    time.Time
+	slowdown  map[string]map[string]int
+}
+
+// NewBroker returns a broker that begins to listen now.
+func NewBroker(now time.Time, settings BrokerSettings) *Broker {
+	return &Broker{
+		settings: settings,
+		started:  now,
+		limits:   map[string]int{},
+		members:  map[string]bool{},
+		routers:  map[string]*router{},
+		counters: hwshare.NewCounters(hwshare.CounterSettings{
+			CatchUp: settings.CatchUp,
+			Grace:   backlogGrace,
+		}),
+		ledger:   hwshare.NewLedger(),
+		targets:  map[string]float64{},
+		pending:  map[string]float64{},
+		slowdown: map[string]map[string]int{},
+		rateAt:   now,
+	}
+}
+
+// backlogGrace bridges the moments in which a backlogged account's queue is empty between two reports.
+const backlogGrace = 200 * time.Millisecond
+
+// SetLimits sets the slots of each upstream that takes new work.
+func (b *Broker) SetLimits(limits map[string]int) {
+	b.limits = maps.Clone(limits)
+	b.names = slices.Sorted(maps.Keys(limits))
+	b.planned = time.Time{}
+}
+
+// SetShare sets an account's share.
+func (b *Broker) SetShare(account string, share float64) { b.counters.SetShare(account, share) }
+
+// SetMembers sets the instances that may hold slots. A member that goes silent keeps its floor reserved until it is removed here.
+func (b *Broker) SetMembers(members []string) {
+	next := map[string]bool{}
+	for _, m := range members {
+		next[m] = true
+	}
+	for name, r := range b.routers {
+		if !next[name] {
+			b.ledger.Fold(r.origin)
+			delete(b.routers, name)
+			delete(b.slowdown, name)
+		}
+	}
+	b.members = next
+	b.planned = time.Time{}
+}
+
+// Report takes a router's report and returns its grant.
+func (b *Broker) Report(now time.Time, report Report) Grant {
+	r, known := b.routers[report.Instance]
+	origin := hwshare.Origin{
+		Instance: report.Instance,
+		Boot:     report.Boot,
+	}
+	if !known || r.origin != origin {
+		if !report.Full {
+			return Grant{
+				ResendFull: true,
+				Sequence:   report.Sequence,
+				Lease:      b.settings.Lease,
+				Fleet:      len(b.members),
+			}
+		}
+		if known {
+			b.ledger.Fold(r.origin)
+		}
+		r = b.admit(report, origin)
+	}
+	if report.Sequence <= r.sequence {
+		// A report that was overtaken says nothing new; its sender has given up on the answer.
+		return Grant{
+			ResendFull: true,
+			Sequence:   report.Sequence,
+			Lease:      b.settings.Lease,
+			Fleet:      len(b.members),
+		}
+	}
+	b.take(now, r, report)
+	if now.Sub(b.planned) >= b.settings.Replan {
+		b.plan(now)
+	}
+	return b.grant(now, report, r)
+}
+
+// admit opens the row of a router that this broker has not heard before.
+// The service it rendered so far was charged by the broker before, so it becomes the baseline; the router's view of the counters carries it over.
+func (b *Broker) admit(report Report, origin hwshare.Origin) *router {
+	r := &router{
+		origin:    origin,
+		upstreams: map[string]holding{},
+		accounts:  map[string]AccountRow{},
+		counters:  map[string]float64{},
+	}
+	b.routers[report.Instance] = r
+	b.members[report.Instance] = true
+	for _, row := range report.View {
+		b.counters.Raise(row.Account, row.Counter)
+	}
+	for _, row := range report.Accounts {
+		b.ledger.Merge(origin, row.Account, row.Service)
+	}
+	return r
+}
+
+func (b *Broker) take(now time.Time, r *router, report Report) {
+	r.sequence = report.Sequence
+	r.reported = now
+	if report.Full {
+		r.upstreams = map[string]holding{}
+		r.accounts = map[string]AccountRow{}
+		r.counters = map[string]float64{}
+	}
+	for _, row := range report.Upstreams {
+		r.upstreams[row.Upstream] = holding{
+			held:  row.Held,
+			inUse: row.InUse,
+		}
+		b.noteSlowness(report.Instance, row)
+	}
+	for _, row := range report.Accounts {
+		r.accounts[row.Account] = row
+		b.counters.Charge(row.Account, b.ledger.Merge(r.origin, row.Account, row.Service))
+	}
+	if report.Leaving {
+		r.accounts = map[string]AccountRow{}
+	}
+}
+
+// noteSlowness keeps what each router says about an upstream; a row without an observation withdraws it.
+func (b *Broker) noteSlowness(instance string, row UpstreamRow) {
+	if b.slowdown[instance] == nil {
+		b.slowdown[instance] = map[string]int{}
+	}
+	if row.SlowPermille == 0 {
+		delete(b.slowdown[instance], row.Upstream)
+		return
+	}
+	b.slowdown[instance][row.Upstream] = row.SlowPermille
+}
+
+// Slowness returns the median of what the routers say about an upstream in thousandths of the pool's median, or 1000 without observations.
+func (b *Broker) Slowness(upstream string) int {
+	var seen []int
+	for _, rows := range b.slowdown {
+		if permille, found := rows[upstream]; found {
+			seen = append(seen, permille)
+		}
+	}
+	if len(seen) == 0 {
+		return NormalSpeed
+	}
+	slices.Sort(seen)
+	return seen[len(seen)/2]
+}
+
+// NormalSpeed is the slowness of an upstream at the pool's median, in thousandths.
+const NormalSpeed = 1000
+
+// slowThreshold is the slowness from which an upstream's limit is lowered, in thousandths.
+const slowThreshold = 2000
+
+// Limit returns an upstream's slots at present: a slowed upstream keeps slots in proportion to its speed, and at least one, which probes it.
+func (b *Broker) Limit(upstream string) int {
+	limit := b.limits[upstream]
+	slowness := b.Slowness(upstream)
+	if slowness < slowThreshold || limit == 0 {
+		return limit
+	}
+	return max(1, limit*NormalSpeed/slowness)
+}
+
+func (b *Broker) capacity() int {
+	total := 0
+	for _, u := range b.names {
+		total += b.Limit(u)
+	}
+	return total
+}
+
+// news returns the counters that changed since the router was last told, for accounts it has work of.
+func (b *Broker) news(r *router) []CounterRow {
+	var rows []CounterRow
+	for _, account := range slices.Sorted(maps.Keys(r.accounts)) {
+		row := r.accounts[account]
+		if row.Waiting+row.Running == 0 {
+			continue
+		}
+		others := b.pending[account] - row.Pending
+		counter := b.counters.Value(account) + max(0, others)/b.counters.Share(account)
+		if told, known := r.counters[account]; known && told == counter {
+			continue
+		}
+		r.counters[account] = counter
+		rows = append(rows, CounterRow{
+			Account: account,
+			Counter: counter,
+		})
+	}
+	return rows
+}
+
+// Gap returns the distance between the backlogged accounts that lie farthest apart, in cost units per share.
+func (b *Broker) Gap() float64 { return b.counters.Gap() }
+
+// Total returns the fleet's service to an account since this broker began, in cost units.
+func (b *Broker) Total(account string) float64 { return b.ledger.Total(account) }
--- /dev/null
+++ b/lib/hwslot/holder.go
@@ -0,0 +1,235 @@
+package hwslot
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// HolderSettings name the router and its boot.
+type HolderSettings struct {
+	Instance string
+	Boot     uint64
+	Pool     string
+	// Lease is how long granted slots may be used after the last answered report was sent.
+	Lease time.Duration
+}
+
+type slots struct {
+	allowed int
+	inUse   int
+}
+
+// Holder is a router's side of the leases of one pool.
+type Holder struct {
+	settings HolderSettings
+	limits   map[string]int
+	members  []string
+	slots    map[string]*slots
+	// confirmed is when the last answered report was sent; the lease counts from there, so that the router lets go before the broker does.
+	confirmed time.Time
+	leased    bool
+	sequence  uint64
+	full      bool
+	inFlight  Report
+	sentAt    time.Time
+	open      bool
+	known     map[string]UpstreamRow
+	accounts  map[string]AccountRow
+	slowness  map[string]int
+}
+
+// NewHolder returns a holder that has its floor of slots and no lease.
+func NewHolder(settings HolderSettings) *Holder {
+	return &Holder{
+		settings: settings,
+		limits:   map[string]int{},
+		slots:    map[string]*slots{},
+		full:     true,
+		known:    map[string]UpstreamRow{},
+		accounts: map[string]AccountRow{},
+		slowness: map[string]int{},
+	}
+}
+
+// SetLimits sets the slots of each upstream that takes new work. Upstreams that are gone get no new work; what runs there ends.
+func (h *Holder) SetLimits(limits map[string]int) {
+	h.limits = maps.Clone(limits)
+	for u := range limits {
+		if h.slots[u] == nil {
+			h.slots[u] = &slots{}
+		}
+	}
+	for u, s := range h.slots {
+		if limits[u] == 0 {
+			s.allowed = 0
+		}
+		if limits[u] == 0 && s.inUse == 0 {
+			delete(h.slots, u)
+		}
+	}
+	h.full = true
+	h.refloor()
+}
+
+// SetMembers sets the instances among which the floors are divided.
+func (h *Holder) SetMembers(members []string) {
+	h.members = slices.Clone(members)
+	h.refloor()
+}
+
+func (h *Holder) refloor() {
+	if h.leased {
+		return
+	}
+	for u, limit := range h.limits {
+		h.slots[u].allowed = Floor(u, limit, h.settings.Instance, h.members)
+	}
+}
+
+// Free returns how many more requests may start at an upstream.
+func (h *Holder) Free(upstream string) int {
+	s, known := h.slots[upstream]
+	if !known {
+		return 0
+	}
+	return max(0, s.allowed-s.inUse)
+}
+
+// Upstreams returns the upstreams with a free slot, sorted.
+func (h *Holder) Upstreams() []string {
+	var names []string
+	for u := range h.slots {
+		if h.Free(u) > 0 {
+			names = append(names, u)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Held returns the slots held and in use over all upstreams.
+func (h *Holder) Held() (allowed, inUse int) {
+	for _, s := range h.slots {
+		allowed += s.allowed
+		inUse += s.inUse
+	}
+	return allowed, inUse
+}
+
+// InUse returns how many requests run at an upstream.
+func (h *Holder) InUse(upstream string) int {
+	if s, known := h.slots[upstream]; known {
+		return s.inUse
+	}
+	return 0
+}
+
+// Take uses a slot. The caller has checked Free.
+func (h *Holder) Take(upstream string) { h.slots[upstream].inUse++ }
+
+// Release frees a slot.
+func (h *Holder) Release(upstream string) {
+	s, known := h.slots[upstream]
+	if !known {
+		return
+	}
+	s.inUse--
+	if s.inUse == 0 && h.limits[upstream] == 0 {
+		delete(h.slots, upstream)
+	}
+}
+
+// SetSlowness notes how slow the router finds an upstream, in thousandths of the pool's median; 0 withdraws it.
+func (h *Holder) SetSlowness(upstream string, permille int) { h.slowness[upstream] = permille }
+
+// Report returns the next report. Rows that the broker has confirmed already are left out, unless it asked for all.
+func (h *Holder) Report(now time.Time, accounts []AccountRow, view []CounterRow, leaving bool) Report {
+	h.sequence++
+	report := Report{
+		Instance: h.settings.Instance,
+		Boot:     h.settings.Boot,
+		Pool:     h.settings.Pool,
+		Sequence: h.sequence,
+		Full:     h.full,
+		Leaving:  leaving,
+	}
+	for _, u := range slices.Sorted(maps.Keys(h.slots)) {
+		row := UpstreamRow{
+			Upstream:     u,
+			Held:         max(h.slots[u].allowed, h.slots[u].inUse),
+			InUse:        h.slots[u].inUse,
+			SlowPermille: h.slowness[u],
+		}
+		if h.full || h.known[u] != row {
+			report.Upstreams = append(report.Upstreams, row)
+		}
+	}
+	for _, row := range accounts {
+		if h.full || h.accounts[row.Account] != row {
+			report.Accounts = append(report.Accounts, row)
+		}
+	}
+	if h.full {
+		report.View = view
+	}
+	h.inFlight = report
+	h.sentAt = now
+	h.open = true
+	return report
+}
+
+// Failed notes that a report got no answer. The broker may or may not have seen it, so the next one is full.
+func (h *Holder) Failed() {
+	h.open = false
+	h.full = true
+}
+
+// Grant takes the answer to the last report. An answer to an earlier one is ignored.
+func (h *Holder) Grant(grant Grant) bool {
+	if !h.open || grant.Sequence != h.inFlight.Sequence || grant.NotBroker {
+		return false
+	}
+	h.open = false
+	h.full = grant.ResendFull
+	if grant.ResendFull {
+		return false
+	}
+	h.leased = true
+	h.confirmed = h.sentAt
+	h.confirm(h.inFlight)
+	for _, row := range grant.Upstreams {
+		s, known := h.slots[row.Upstream]
+		if known && h.limits[row.Upstream] > 0 {
+			s.allowed = row.Held
+		}
+	}
+	return true
+}
+
+func (h *Holder) confirm(report Report) {
+	if report.Full {
+		clear(h.known)
+		clear(h.accounts)
+	}
+	for _, row := range report.Upstreams {
+		h.known[row.Upstream] = row
+	}
+	for _, row := range report.Accounts {
+		h.accounts[row.Account] = row
+	}
+}
+
+// Expire falls back to the floor when the lease has run out, and reports whether it just did.
+func (h *Holder) Expire(now time.Time) bool {
+	if !h.leased || now.Sub(h.confirmed) <= h.settings.Lease {
+		return false
+	}
+	h.leased = false
+	h.full = true
+	h.refloor()
+	return true
+}
+
+// Leased reports whether a broker's lease is in force.
+func (h *Holder) Leased() bool { return h.leased }
--- /dev/null
+++ b/lib/hwslot/target.go
@@ -0,0 +1,121 @@
+package hwslot
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// plan computes every router's target from the demand of all accounts.
+func (b *Broker) plan(now time.Time) {
+	b.planned = now
+	b.observe(now)
+	demands, byRouter := b.demand()
+	capacity := float64(b.capacity())
+	aims := b.settings.Policy.Aims(capacity, demands)
+	b.targets = map[string]float64{}
+	left := capacity
+	for i, d := range demands {
+		for _, part := range byRouter[d.Account] {
+			b.targets[part.instance] += aims[i] * part.slots / d.Slots
+		}
+		left -= aims[i]
+	}
+	// Slots that nobody asked for are spread evenly, so that a router can start new work without asking.
+	reporting := b.live(now)
+	for _, name := range reporting {
+		b.targets[name] += left / float64(len(reporting))
+	}
+}
+
+// observe refreshes who is backlogged, what is running uncharged, and how much service a slot renders.
+func (b *Broker) observe(now time.Time) {
+	waiting := map[string]bool{}
+	b.pending = map[string]float64{}
+	total := 0.0
+	inUse := 0
+	for _, r := range b.routers {
+		for account, row := range r.accounts {
+			waiting[account] = waiting[account] || row.Waiting > 0
+			b.pending[account] += row.Pending
+		}
+		for _, h := range r.upstreams {
+			inUse += h.inUse
+		}
+	}
+	for _, account := range slices.Sorted(maps.Keys(waiting)) {
+		b.counters.Observe(now, account, waiting[account])
+		total += b.ledger.Total(account)
+	}
+	elapsed := now.Sub(b.rateAt).Seconds()
+	if elapsed < rateWindow.Seconds() || inUse == 0 {
+		return
+	}
+	if b.rateTotal > 0 && total > b.rateTotal {
+		sample := (total - b.rateTotal) / elapsed / float64(inUse)
+		b.rate = mixRate(b.rate, sample)
+	}
+	b.rateTotal = total
+	b.rateAt = now
+}
+
+const (
+	rateWindow   = 500 * time.Millisecond
+	rateLearning = 0.3
+)
+
+func mixRate(mean, sample float64) float64 {
+	if mean == 0 {
+		return sample
+	}
+	return mean + rateLearning*(sample-mean)
+}
+
+type routerPart struct {
+	instance string
+	slots    float64
+}
+
+func (b *Broker) demand() ([]Demand, map[string][]routerPart) {
+	byRouter := map[string][]routerPart{}
+	sums := map[string]float64{}
+	for _, name := range slices.Sorted(maps.Keys(b.routers)) {
+		for account, row := range b.routers[name].accounts {
+			slots := float64(row.Waiting + row.Running)
+			if slots == 0 {
+				continue
+			}
+			part := routerPart{
+				instance: name,
+				slots:    slots,
+			}
+			byRouter[account] = append(byRouter[account], part)
+			sums[account] += slots
+		}
+	}
+	demands := make([]Demand, 0, len(sums))
+	for _, account := range slices.Sorted(maps.Keys(sums)) {
+		demand := Demand{
+			Account: account,
+			Share:   b.counters.Share(account),
+			Slots:   sums[account],
+		}
+		if b.rate > 0 {
+			demand.Lag = b.counters.Lag(account, b.pending) / b.rate
+		}
+		demands = append(demands, demand)
+	}
+	return demands, byRouter
+}
+
+// live returns the routers whose lease runs.
+func (b *Broker) live(now time.Time) []string {
+	var names []string
+	for name, r := range b.routers {
+		if now.Sub(r.reported) <= b.settings.Lease {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
