--- a/cmd/hickorywick-standin/internal/hwdemo/demo.go
+++ b/cmd/hickorywick-standin/internal/hwdemo/demo.go
@@ -99,6 +99,7 @@
 		Accounts:     specs,
 		Coordination: hwrouter.Leased,
 		Gain:         hwrouter.DefaultGain,
+		LongFactor:   hwrouter.DefaultLongFactor,
 		Times:        hwrouter.DefaultTimes(),
 		QueueTimeout: 10 * time.Second,
 	})
--- a/cmd/hickorywick-standin/internal/hwload/books.go
+++ b/cmd/hickorywick-standin/internal/hwload/books.go
@@ -115,14 +115,15 @@
 // Tokens returns the service of all accounts between two moments, by the nearest samples.
 func (b *Books) Tokens(from, to time.Time) int {
 	total := 0
-	first, last := b.nearest(from), b.nearest(to)
+	first, last := b.Nearest(from), b.Nearest(to)
 	for account, tokens := range last.Service {
 		total += tokens - first.Service[account]
 	}
 	return total
 }
 
-func (b *Books) nearest(at time.Time) Sample {
+// Nearest returns the sample nearest to a moment.
+func (b *Books) Nearest(at time.Time) Sample {
 	var best Sample
 	for _, s := range b.Samples() {
 		if best.At.IsZero() || s.At.Sub(at).Abs() < best.At.Sub(at).Abs() {
@@ -134,7 +135,7 @@
 
 // Gap returns the largest distance in service per share that two accounts ever had between two moments, counted from the first one.
 func (b *Books) Gap(from, to time.Time, shares map[string]float64) float64 {
-	first := b.nearest(from)
+	first := b.Nearest(from)
 	worst := 0.0
 	for _, s := range b.Samples() {
 		if s.At.Before(from) || s.At.After(to) {
--- /dev/null
+++ b/cmd/hickorywick-standin/internal/hwmeasure/run.go
@@ -0,0 +1,217 @@
+package hwmeasure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwload"
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwworld"
+	"github.com/hickorywick/hickorywick/lib/hwtask"
+)
+
+// Event is something done to the world during a run.
+type Event struct {
+	At   time.Duration
+	Name string
+	Do   func(r *Result) error
+}
+
+// Case is a situation to measure.
+type Case struct {
+	Name         string
+	QueueTimeout time.Duration
+	Warmup       time.Duration
+	Length       time.Duration
+	Sources      func(size Size) []hwload.Source
+	Events       []Event
+	Figures      func(r *Result) []Figure
+	Policies     []Policy
+}
+
+// Figure is one line of the result.
+type Figure struct {
+	Name  string
+	Value float64
+	Unit  string
+}
+
+func figure(name string, value float64, unit string) Figure {
+	return Figure{
+		Name:  name,
+		Value: value,
+		Unit:  unit,
+	}
+}
+
+// Use is how many requests ran at the engines at a moment.
+type Use struct {
+	At    time.Time
+	Total int64
+	// Above is the most by which an engine exceeded its slots.
+	Above int64
+}
+
+// Result is what a run left behind.
+type Result struct {
+	Size   Size
+	Policy Policy
+	World  *hwworld.World
+	Books  *hwload.Books
+	// From and To bound the measured part.
+	From time.Time
+	To   time.Time
+	Uses []Use
+	// Marks are the moments of events.
+	Marks    map[string]time.Time
+	Note     map[string]float64
+	control  int64
+	cpu      time.Duration
+	routers  int
+	duration time.Duration
+}
+
+// The rates at which a run is watched.
+const (
+	sampleEvery = 50 * time.Millisecond
+	settleTime  = 1500 * time.Millisecond
+)
+
+// Run measures one case at one size under one policy.
+func Run(ctx context.Context, c Case, size Size, policy Policy) (*Result, error) {
+	world, err := hwworld.New(ctx, size.world(policy, c))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer world.Close()
+	ready, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	if err := world.WaitReady(ready); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	// The brokers listen before they lease.
+	time.Sleep(settleTime)
+	r := &Result{
+		Size:    size,
+		Policy:  policy,
+		World:   world,
+		Books:   hwload.NewBooks(),
+		Marks:   map[string]time.Time{},
+		Note:    map[string]float64{},
+		routers: len(world.All()),
+	}
+	return r, r.run(ctx, c)
+}
+
+func (r *Result) run(ctx context.Context, c Case) error {
+	client := hwload.NewClient(r.Size.Callers)
+	defer client.Close()
+	began := time.Now()
+	r.From = began.Add(c.Warmup)
+	r.To = r.From.Add(c.Length)
+	load, cancel := context.WithDeadline(ctx, r.To)
+	defer cancel()
+	var tasks []<-chan error
+	for i, source := range c.Sources(r.Size) {
+		tasks = append(tasks, hwtask.Start(load, func(ctx context.Context) error {
+			client.Run(ctx, r.address, source, uint64(i+1), r.Books)
+			return nil
+		}))
+	}
+	tasks = append(tasks, hwtask.Start(load, r.watch))
+	before := r.bytes()
+	cpu := processorTime()
+	var failure error
+	for _, event := range c.Events {
+		time.Sleep(time.Until(r.From.Add(event.At)))
+		r.Marks[event.Name] = time.Now()
+		if err := event.Do(r); err != nil {
+			failure = err
+		}
+	}
+	<-load.Done()
+	r.control = r.bytes() - before
+	r.cpu = processorTime() - cpu
+	r.duration = time.Since(began)
+	return trace.NewAggregate(failure, hwtask.Join(tasks...))
+}
+
+// address returns where a source's router listens; under the central policy everything goes to the one router.
+func (r *Result) address(name string) string {
+	if r.Policy.Central {
+		name = Router(0)
+	}
+	router, err := r.World.Find(name)
+	if err != nil {
+		return ""
+	}
+	return router.Callers
+}
+
+func (r *Result) watch(ctx context.Context) error {
+	ticker := time.NewTicker(sampleEvery)
+	defer ticker.Stop()
+	for {
+		now := time.Now()
+		r.Books.Sample(now)
+		use := Use{
+			At: now,
+		}
+		for _, e := range r.World.Engines {
+			running, _ := e.Running()
+			use.Total += running
+			use.Above = max(use.Above, running-int64(r.Size.EngineSlots))
+		}
+		r.Uses = append(r.Uses, use)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Result) bytes() int64 {
+	total := int64(0)
+	for _, router := range r.World.All() {
+		total += router.Router.ControlBytes()
+	}
+	return total
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// common are the figures of every case.
+func (r *Result) common() []Figure {
+	heap := runtime.MemStats{}
+	runtime.ReadMemStats(&heap)
+	seconds := r.duration.Seconds()
+	return []Figure{
+		figure("requests", float64(len(r.Books.Records())), "1"),
+		figure("unaccounted", float64(r.Books.Unaccounted()), "1"),
+		figure("broken", float64(r.Books.Count("", hwload.Broken)), "1"),
+		figure("unknown", float64(r.Books.Count("", hwload.Unknown)), "1"),
+		figure("not-run", float64(r.Books.Count("", hwload.NotRun)), "1"),
+		figure("control-kilobytes-per-second-and-instance", float64(r.control)/1000/seconds/float64(r.routers), "kB/s"),
+		figure("process-cores", r.cpu.Seconds()/seconds, "cores"),
+	}
+}
+
+// Print writes a result as lines of key=value.
+func Print(out io.Writer, c Case, r *Result) {
+	prefix := fmt.Sprintf("case=%s size=%s policy=%s", c.Name, r.Size.Name, r.Policy.Name)
+	for _, f := range append(c.Figures(r), r.common()...) {
+		_, _ = fmt.Fprintf(out, "%s %s=%.4g unit=%s\n", prefix, f.Name, f.Value, f.Unit)
+	}
+}
--- /dev/null
+++ b/cmd/hickorywick-standin/internal/hwmeasure/size.go
@@ -0,0 +1,192 @@
+// Package hwmeasure measures the routers' decisions on real sockets: real routers, stand-in engines, one case and one policy a run.
+package hwmeasure
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwfakeengine"
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwload"
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwworld"
+	"github.com/hickorywick/hickorywick/lib/hwdocument"
+	"github.com/hickorywick/hickorywick/lib/hwrouter"
+)
+
+// Size is one of today's installations.
+type Size struct {
+	Name        string
+	Routers     int
+	Zones       int
+	Engines     int
+	Services    int
+	EngineSlots int
+	// Link is the delay one way between routers and upstreams, Callers between callers and routers.
+	Link    time.Duration
+	Callers time.Duration
+	Shares  []float64
+}
+
+// Sizes are today's installations.
+func Sizes() []Size {
+	shares := []float64{8, 8, 4, 4, 2, 2, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1}
+	return []Size{
+		{
+			Name:        "tapkring",
+			Routers:     4,
+			Zones:       3,
+			Engines:     9,
+			EngineSlots: 16,
+			Link:        500 * time.Microsecond,
+			Callers:     time.Millisecond,
+			Shares:      shares,
+		},
+		{
+			Name:        "derwent",
+			Routers:     5,
+			Zones:       4,
+			Engines:     18,
+			Services:    4,
+			EngineSlots: 8,
+			Link:        time.Millisecond,
+			Callers:     3 * time.Millisecond,
+			Shares:      shares,
+		},
+	}
+}
+
+// Slots returns the slots of the model pool.
+func (s Size) Slots() int { return s.Engines * s.EngineSlots }
+
+// The speed of the stand-in engines: a token takes twice its lone time at a full batch.
+const (
+	tokenTime  = 10 * time.Millisecond
+	firstToken = 20 * time.Millisecond
+)
+
+// TokensPerSecond is the pool's rate with every slot in use.
+func (s Size) TokensPerSecond() float64 {
+	return float64(s.Slots()) / (2 * tokenTime.Seconds())
+}
+
+// The answer lengths of all cases: rough hints, and 3 % stragglers 30 times as long.
+var (
+	mixedSizes = hwload.Sizes{
+		Median:          30,
+		Spread:          0.5,
+		StragglerPart:   0.03,
+		StragglerFactor: 30,
+	}
+	shortSizes = hwload.Sizes{
+		Median: 20,
+		Spread: 0.4,
+	}
+	longSizes = hwload.Sizes{
+		Median: 600,
+		Spread: 0.3,
+	}
+)
+
+// largestCost is the largest cost of a request that the documents allow, in cost units.
+const largestCost = 4000
+
+// Account returns the name of the i-th account.
+func Account(i int) string { return fmt.Sprintf("account-%02d", i+1) }
+
+// Router returns the name of the i-th router.
+func Router(i int) string { return fmt.Sprintf("router-%d", i+1) }
+
+// ShareOf returns the shares by account.
+func (s Size) ShareOf() map[string]float64 {
+	shares := map[string]float64{}
+	for i, share := range s.Shares {
+		shares[Account(i)] = share
+	}
+	return shares
+}
+
+// Total returns the sum of all shares.
+func (s Size) Total() float64 {
+	total := 0.0
+	for _, share := range s.Shares {
+		total += share
+	}
+	return total
+}
+
+// Policy is a way of coordinating routers.
+type Policy struct {
+	Name         string
+	Coordination hwrouter.Coordination
+	// Central sends everything to one router, which is the ideal of one queue for all.
+	Central bool
+	// FIFO treats short and long work alike.
+	FIFO bool
+}
+
+// Policies are what is compared.
+func Policies() []Policy {
+	return []Policy{
+		{
+			Name:         "central",
+			Coordination: hwrouter.Leased,
+			Central:      true,
+		},
+		{
+			Name:         "leased",
+			Coordination: hwrouter.Leased,
+		},
+		{
+			Name:         "static",
+			Coordination: hwrouter.Static,
+		},
+		{
+			Name:         "local",
+			Coordination: hwrouter.Local,
+		},
+	}
+}
+
+func (s Size) world(policy Policy, c Case) hwworld.Settings {
+	routers := s.Routers
+	if policy.Central {
+		routers = 1
+	}
+	longFactor := float64(hwrouter.DefaultLongFactor)
+	if policy.FIFO {
+		longFactor = 0
+	}
+	settings := hwworld.Settings{
+		Routers:     routers,
+		Zones:       s.Zones,
+		Engines:     s.Engines,
+		EngineSlots: s.EngineSlots,
+		Engine: hwfakeengine.Settings{
+			TokenTime:  tokenTime,
+			FirstToken: firstToken,
+			Link:       s.Link,
+			ReportLag:  5 * time.Second,
+		},
+		Services:     s.Services,
+		ServiceSlots: s.EngineSlots,
+		ServiceLink:  s.Link,
+		Coordination: policy.Coordination,
+		Gain:         hwrouter.DefaultGain,
+		LongFactor:   longFactor,
+		Times:        hwrouter.DefaultTimes(),
+		ListLag:      2 * time.Second,
+		StoreDelay:   3 * time.Millisecond,
+		QueueTimeout: c.QueueTimeout,
+		Edit: func(document *hwdocument.Document) {
+			document.Pools[0].LargestCost = largestCost
+		},
+	}
+	for i, share := range s.Shares {
+		settings.Accounts = append(settings.Accounts, hwdocument.Account{
+			Name:       Account(i),
+			Share:      share,
+			KeySHA256:  []string{hwworld.KeyDigest(Account(i))},
+			QueueBound: 4096,
+		})
+	}
+	return settings
+}
--- a/cmd/hickorywick-standin/internal/hwworld/world.go
+++ b/cmd/hickorywick-standin/internal/hwworld/world.go
@@ -53,6 +53,7 @@
 	Accounts     []hwdocument.Account
 	Coordination hwrouter.Coordination
 	Gain         float64
+	LongFactor   float64
 	Times        hwrouter.Times
 	ListLag      time.Duration
 	StoreDelay   time.Duration
@@ -339,6 +340,7 @@
 		OperatorKey:  OperatorKey,
 		Coordination: w.settings.Coordination,
 		Gain:         w.settings.Gain,
+		LongFactor:   w.settings.LongFactor,
 		Security: hwpeer.Security{
 			SharedKey: sharedKey,
 		},
--- a/cmd/hickorywick-standin/main.go
+++ b/cmd/hickorywick-standin/main.go
@@ -13,6 +13,7 @@
 	klog "github.com/go-kratos/kratos/v2/log"
 
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwdemo"
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwmeasure"
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwplatform"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwkratos"
@@ -20,9 +21,25 @@
 
 type arguments struct {
 	Demo     demoCommand     `cmd:"" help:"Run stand-ins and four routers in this process under a mixed load and print who got what."`
+	Measure  measureCommand  `cmd:"" help:"Measure a case under a policy with real routers on loopback sockets and print key=value lines."`
 	Platform platformCommand `cmd:"" help:"Serve the store, the instance list, engines and a service on loopback ports until interrupted."`
 }
 
+type measureCommand struct {
+	Case   string `default:"all" help:"Case to measure, or all."`
+	Policy string `default:"all" help:"Policy to measure, or all that the case compares."`
+	Size   string `default:"tapkring" help:"Installation: tapkring, derwent or all."`
+}
+
+// Run measures.
+func (c measureCommand) Run(ctx context.Context) error {
+	return hwmeasure.RunAll(ctx, os.Stdout, hwmeasure.Selection{
+		Case:   c.Case,
+		Policy: c.Policy,
+		Size:   c.Size,
+	})
+}
+
 type demoCommand struct {
 	Length time.Duration `default:"10s" help:"How long the load lasts." env:"HICKORYWICK_DEMO_LENGTH"`
 }
--- a/lib/hwdispatch/dispatcher.go
+++ b/lib/hwdispatch/dispatcher.go
@@ -22,7 +22,7 @@
 	Lease    time.Duration
 	// Patience is how long short work goes before long work that arrived earlier.
 	Patience time.Duration
-	// LongFactor is how many times the pool's mean cost a request must exceed to count as long.
+	// LongFactor is how many times the pool's mean cost a request must exceed to count as long; 0 makes one lane of all work, first come first served.
 	LongFactor float64
 	// ShortMemory is how long part of the slots is kept from long work after short work arrived.
 	ShortMemory time.Duration
@@ -207,7 +207,7 @@
 
 func (d *Dispatcher) lane(cost float64) hwshare.Lane {
 	mean := d.estimator.Mean()
-	if mean > 0 && cost > d.settings.LongFactor*mean {
+	if d.settings.LongFactor > 0 && mean > 0 && cost > d.settings.LongFactor*mean {
 		return hwshare.Long
 	}
 	return hwshare.Short
@@ -357,7 +357,7 @@
 	}
 	d.charge(r, finish.Cost)
 	if !finish.Failed {
-		d.estimator.Learn(r.request.Account, finish.Cost)
+		d.estimator.Learn(r.request.Account, r.request.Hint, finish.Cost)
 		d.observeWhole(now, r, finish.Cost)
 	}
 	if r.lane == hwshare.Long {
--- a/lib/hwrouter/pool.go
+++ b/lib/hwrouter/pool.go
@@ -66,7 +66,7 @@
 			Zone:          settings.Zone,
 			Lease:         settings.Times.Lease,
 			Patience:      shortPatience,
-			LongFactor:    longFactor,
+			LongFactor:    settings.LongFactor,
 			ShortMemory:   shortMemory,
 			CatchUp:       catchUp(spec),
 			FirstEstimate: firstEstimate,
--- a/lib/hwrouter/settings.go
+++ b/lib/hwrouter/settings.go
@@ -39,6 +39,8 @@
 	OperatorKey  string
 	Coordination Coordination
 	Gain         float64
+	// LongFactor is how many times the mean cost a request must exceed to count as long work; 0 makes one lane of all.
+	LongFactor float64
 	Security     hwpeer.Security
 	Times        Times
 	BodyBytes    int64
@@ -79,6 +81,9 @@
 // DefaultGain is how fast a lag is made good, per second. Multiplied by the report interval it stays well under one.
 const DefaultGain = 4
 
+// DefaultLongFactor is the size threshold between short and long work, in means.
+const DefaultLongFactor = 2
+
 // DefaultBodyBytes is the largest request body.
 const DefaultBodyBytes = 8 << 20
 
--- a/lib/hwshare/estimator.go
+++ b/lib/hwshare/estimator.go
@@ -5,10 +5,17 @@
 // learningRate is the weight of the newest cost in a running mean.
 const learningRate = 0.1
 
-// Estimator learns what requests cost, per account and over the pool.
+// class groups requests of an account whose hints are of the same magnitude, because one account may send short and long work.
+type class struct {
+	account   string
+	magnitude int
+}
+
+// Estimator learns what requests cost, per account and magnitude of hint, per account, and over the pool.
 // A hint, such as the caller's token limit, only bounds what was learned: it never raises it.
 type Estimator struct {
 	initial  float64
+	classes  map[class]float64
 	accounts map[string]float64
 	pool     float64
 }
@@ -17,10 +24,22 @@
 func NewEstimator(initial float64) *Estimator {
 	return &Estimator{
 		initial:  initial,
+		classes:  map[class]float64{},
 		accounts: map[string]float64{},
 	}
 }
 
+func classOf(account string, hint float64) class {
+	magnitude := 0
+	if hint > 0 {
+		_, magnitude = math.Frexp(hint)
+	}
+	return class{
+		account:   account,
+		magnitude: magnitude,
+	}
+}
+
 // Estimate returns the expected cost in cost units. A hint of zero is no hint.
 func (e *Estimator) Estimate(account string, hint float64) float64 {
 	learned := e.initial
@@ -30,16 +49,21 @@
 	if own, known := e.accounts[account]; known {
 		learned = own
 	}
+	if own, known := e.classes[classOf(account, hint)]; known {
+		learned = own
+	}
 	if hint > 0 {
 		return math.Min(learned, hint)
 	}
 	return learned
 }
 
-// Learn takes the cost of a finished request in cost units.
-func (e *Estimator) Learn(account string, cost float64) {
+// Learn takes the cost of a finished request, in cost units, and the hint that came with it.
+func (e *Estimator) Learn(account string, hint, cost float64) {
 	e.pool = mix(e.pool, cost)
 	e.accounts[account] = mix(e.accounts[account], cost)
+	key := classOf(account, hint)
+	e.classes[key] = mix(e.classes[key], cost)
 }
 
 // Mean returns the pool's mean cost in cost units, or zero before the first request ended.
