At most once: keyed requests run under a record in the store

An intent is group-committed by compare-and-swap into one store value per partition before anything is handed over; a repeat gets the recorded outcome or unknown.

--- a/lib/hwrouter/group.go
+++ b/lib/hwrouter/group.go
@@ -7,8 +7,8 @@
 	"github.com/hickorywick/hickorywick/lib/hwtask"
 )
 
-// maximumProbes bounds the goroutines of a group.
-const maximumProbes = 64
+// maximumShortTasks bounds the goroutines of a group.
+const maximumShortTasks = 64
 
 // group runs short tasks and waits for their ends. A task beyond the bound waits for its turn, so tasks must not start others.
 type group struct {
@@ -20,7 +20,7 @@
 func newGroup(ctx context.Context) *group {
 	return &group{
 		ctx:   ctx,
-		slots: make(chan struct{}, maximumProbes),
+		slots: make(chan struct{}, maximumShortTasks),
 	}
 }
 
--- a/lib/hwrouter/peers.go
+++ b/lib/hwrouter/peers.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"github.com/hickorywick/hickorywick/lib/hwpeer"
 	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
 )
@@ -27,10 +25,7 @@
 	if from, known := r.lookup(in.GetFrom()); known {
 		number, digest := in.GetDocumentVersion(), in.GetDocumentDigest()
 		if inForce, _ := r.Version(); number > inForce {
-			r.own(func(ctx context.Context) error {
-				r.offeredByPeer(ctx, from.Address, number, digest)
-				return nil
-			})
+			r.background.start(func(ctx context.Context) { r.offeredByPeer(ctx, from.Address, number, digest) })
 		}
 	}
 	r.membersLock.Lock()
@@ -45,16 +40,6 @@
 	}, nil
 }
 
-// Intend is answered by the owner of the key's partition.
-func (r *Router) Intend(context.Context, *hwpeerpb.IntendRequest) (*hwpeerpb.IntendReply, error) {
-	return nil, trace.NotImplemented("keyed requests are not recorded yet")
-}
-
-// Conclude is answered by the owner of the key's partition.
-func (r *Router) Conclude(context.Context, *hwpeerpb.ConcludeRequest) (*hwpeerpb.ConcludeReply, error) {
-	return nil, trace.NotImplemented("keyed requests are not recorded yet")
-}
-
 // documentQuery answers peers; its Document method differs from the router's own.
 type documentQuery struct {
 	*Router
--- a/lib/hwrouter/router.go
+++ b/lib/hwrouter/router.go
@@ -65,6 +65,10 @@
 	pools     map[string]*pool
 	brokers   map[string]*hosted
 
+	owners owners
+	// background runs short tasks that no caller waits for.
+	background *group
+
 	// tasks are the goroutines that the router owns. Their ends are read in Stop.
 	tasksLock sync.Mutex
 	tasks     []<-chan error
@@ -96,6 +100,10 @@
 		running:   running,
 		cancel:    cancel,
 		installed: make(chan struct{}, 1),
+		owners: owners{
+			partitions: map[int]*ownedPartition{},
+		},
+		background: newGroup(running),
 		table: hwmember.New(hwmember.Settings{
 			ProbeEvery: settings.Times.ProbeEvery,
 			SuspectFor: settings.Times.SuspectFor,
@@ -198,6 +206,7 @@
 		// Stopping closes the listener and waits for every request in flight.
 		failures = append(failures, server.Stop(ctx))
 	}
+	r.background.wait()
 	r.handBack(ctx)
 	r.cancel()
 	return trace.NewAggregate(failures...)
@@ -215,6 +224,7 @@
 	tasks := slices.Clone(r.tasks)
 	r.tasksLock.Unlock()
 	failures = append(failures, hwtask.Join(tasks...))
+	r.background.wait()
 	r.logger.Emit(hwevent.RouterStopped, hwevent.With("instance", r.settings.Instance))
 	return trace.NewAggregate(failures...)
 }
--- a/lib/hwrouter/serve.go
+++ b/lib/hwrouter/serve.go
@@ -16,6 +16,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwerror"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwintake"
+	"github.com/hickorywick/hickorywick/lib/hwonce"
 	"github.com/hickorywick/hickorywick/lib/hwretry"
 	"github.com/hickorywick/hickorywick/lib/hwupstream"
 )
@@ -44,6 +45,12 @@
 	// cost is the cost of the request so far; base is the part that earlier attempts were charged.
 	cost float64
 	base float64
+	// recordedIntent tells that the request is kept under a key; it then runs to its end even if its caller goes away, so that a repeat gets the outcome.
+	recordedIntent bool
+	// answered tells that a whole answer came, even if its caller did not stay for it; kept and status are that answer.
+	answered bool
+	kept     []byte
+	status   int
 	// resume tells that the next attempt continues the answer.
 	resume bool
 }
@@ -62,13 +69,49 @@
 		return
 	}
 	d.pool.earn(time.Now())
-	if refusal := d.run(ctx); refusal != nil {
+	refusal := d.once(ctx)
+	if refusal != nil {
 		d.refuse(refusal)
 		return
 	}
 	r.metrics.outcomes.Add(string(hwerror.Ran), 1)
 }
 
+// once runs a keyed request that must not be repeated under its record; anything else runs at once.
+func (d *delivery) once(ctx context.Context) *hwerror.Refusal {
+	if d.call.Key == "" || d.call.Repeatable {
+		return d.run(ctx)
+	}
+	intention := d.router.intention(d.call)
+	decision, kept := intention.begin(ctx)
+	if decision.Verdict == hwonce.Unavailable {
+		// The intent may have been recorded all the same; its key must not stay in use.
+		intention.end(hwonce.NotRun, 0, keptAnswer{})
+	}
+	if decision.Verdict != hwonce.Run {
+		return repeated(d.writer, decision, kept)
+	}
+	d.recordedIntent = true
+	refusal := d.run(ctx)
+	intention.end(d.recorded(refusal), d.status, keptAnswer{
+		body:        d.kept,
+		contentType: d.writer.Header().Get("Content-Type"),
+	})
+	return refusal
+}
+
+// recorded returns the outcome that the record keeps.
+func (d *delivery) recorded(refusal *hwerror.Refusal) hwonce.Outcome {
+	switch {
+	case refusal == nil || d.answered:
+		return hwonce.Ran
+	case refusal.Execution == hwerror.NotRun:
+		return hwonce.NotRun
+	default:
+		return hwonce.Unknown
+	}
+}
+
 // run makes attempts until one ends well or none may follow.
 func (d *delivery) run(ctx context.Context) *hwerror.Refusal {
 	deadline := time.Now().Add(d.call.Deadline)
@@ -190,6 +233,9 @@
 
 // attempt runs the request at an upstream and settles its cost.
 func (d *delivery) attempt(ctx context.Context, id, upstream string) *hwupstream.Error {
+	if d.recordedIntent {
+		ctx = context.WithoutCancel(ctx)
+	}
 	silence := d.call.Timeout
 	if d.call.Stream {
 		silence = min(silence, d.call.Pool.ProgressTimeout.Std())
@@ -266,6 +312,9 @@
 		return err
 	}
 	d.cost = max(d.cost, d.wholeCost(body))
+	d.answered = true
+	d.status = answer.Status
+	d.kept = body
 	hwintake.CopyHeader(d.writer.Header(), answer.Header)
 	d.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	d.writer.Header().Set(hwintake.ExecutionHeader, string(hwerror.Ran))
--- a/lib/hwrouter/settings.go
+++ b/lib/hwrouter/settings.go
@@ -41,9 +41,9 @@
 	Gain         float64
 	// LongFactor is how many times the mean cost a request must exceed to count as long work; 0 makes one lane of all.
 	LongFactor float64
-	Security     hwpeer.Security
-	Times        Times
-	BodyBytes    int64
+	Security   hwpeer.Security
+	Times      Times
+	BodyBytes  int64
 }
 
 // Times are a router's spans of time.
--- /dev/null
+++ b/lib/hwstore/memory.go
@@ -0,0 +1,134 @@
+package hwstore
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Memory is a store inside the process, for a single instance on trial and for tests. It keeps nothing beyond the process.
+type Memory struct {
+	lock     sync.Mutex
+	revision int64
+	values   map[string]Value
+	leases   map[LeaseID]time.Duration
+	changed  chan struct{}
+}
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{
+		values:  map[string]Value{},
+		leases:  map[LeaseID]time.Duration{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Get returns a value.
+func (m *Memory) Get(_ context.Context, key string) (Value, error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	value := m.values[key]
+	value.Key = key
+	return value, nil
+}
+
+// Put writes if the key's revision is still the given one.
+func (m *Memory) Put(_ context.Context, key string, value []byte, revision int64, _ LeaseID) (int64, error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if err := m.expect(key, revision); err != nil {
+		return 0, trace.Wrap(err)
+	}
+	m.revision++
+	m.values[key] = Value{
+		Key:      key,
+		Bytes:    bytes.Clone(value),
+		Revision: m.revision,
+	}
+	m.announce()
+	return m.revision, nil
+}
+
+func (m *Memory) expect(key string, revision int64) error {
+	if current := m.values[key]; current.Revision != revision {
+		return &ConflictError{
+			Key:     key,
+			Current: current,
+		}
+	}
+	return nil
+}
+
+func (m *Memory) announce() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Delete removes the key if its revision is still the given one.
+func (m *Memory) Delete(_ context.Context, key string, revision int64) error {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if err := m.expect(key, revision); err != nil {
+		return trace.Wrap(err)
+	}
+	delete(m.values, key)
+	m.revision++
+	m.announce()
+	return nil
+}
+
+// Grant opens a lease; in this store leases end only when they are revoked.
+func (m *Memory) Grant(_ context.Context, ttl time.Duration) (LeaseID, error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.revision++
+	id := LeaseID(m.revision)
+	m.leases[id] = ttl
+	return id, nil
+}
+
+// KeepAlive renews a lease.
+func (m *Memory) KeepAlive(_ context.Context, lease LeaseID) (time.Duration, error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	ttl, known := m.leases[lease]
+	if !known {
+		return 0, trace.Wrap(&LeaseGoneError{
+			Lease: lease,
+		})
+	}
+	return ttl, nil
+}
+
+// Revoke ends a lease.
+func (m *Memory) Revoke(_ context.Context, lease LeaseID) error {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	delete(m.leases, lease)
+	return nil
+}
+
+// Watch calls changed for the latest change of a key from a revision on.
+func (m *Memory) Watch(ctx context.Context, key string, fromRevision int64, changed func(Change)) error {
+	for {
+		m.lock.Lock()
+		value := m.values[key]
+		next := m.changed
+		m.lock.Unlock()
+		if value.Revision >= fromRevision && value.Revision > 0 {
+			changed(Change{
+				Value: value,
+			})
+			fromRevision = value.Revision + 1
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		case <-next:
+		}
+	}
+}
