--- a/cmd/hickorywick-standin/internal/hwfakeservice/service.go
+++ b/cmd/hickorywick-standin/internal/hwfakeservice/service.go
@@ -99,18 +99,21 @@
 	return s.running
 }
 
-// Hold makes calls wait before their answer until the returned function is called.
-func (s *Service) Hold() func() {
+// Hold makes calls wait before their answer until Release.
+func (s *Service) Hold() {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	gate := make(chan struct{})
-	s.gate = gate
-	return sync.OnceFunc(func() {
-		s.lock.Lock()
-		defer s.lock.Unlock()
+	s.gate = make(chan struct{})
+}
+
+// Release lets held calls answer.
+func (s *Service) Release() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.gate != nil {
+		close(s.gate)
 		s.gate = nil
-		close(gate)
-	})
+	}
 }
 
 func (s *Service) begin() (Fault, bool, chan struct{}) {
--- /dev/null
+++ b/cmd/hickorywick-standin/internal/hwscript/commands.go
@@ -0,0 +1,564 @@
+package hwscript
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwfakelist"
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwfakeservice"
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwfakestore"
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwload"
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwworld"
+	"github.com/hickorywick/hickorywick/lib/hwtask"
+)
+
+// ExpectationError says which expectation of a scenario does not hold.
+type ExpectationError struct {
+	What string
+	Want string
+	Got  string
+}
+
+// Error names both sides.
+func (e *ExpectationError) Error() string {
+	return fmt.Sprintf("%s: want %s, got %s", e.What, e.Want, e.Got)
+}
+
+func expect(what, want, got string) error {
+	if slices.Contains(strings.Split(want, "|"), got) {
+		return nil
+	}
+	return trace.Wrap(&ExpectationError{
+		What: what,
+		Want: want,
+		Got:  got,
+	})
+}
+
+// Command is a word of the language.
+type Command func(s *Stage, a Arguments) error
+
+// Commands are the words of the language.
+func Commands() map[string]Command {
+	return map[string]Command{
+		"begin":      (*Stage).Begin,
+		"call":       callCommand,
+		"reply":      replyCommand,
+		"executions": executionsCommand,
+		"router":     routerCommand,
+		"store":      storeCommand,
+		"list":       listCommand,
+		"engine":     engineCommand,
+		"service":    serviceCommand,
+		"document":   documentCommand,
+		"promote":    promoteCommand,
+		"until":      untilCommand,
+		"load":       loadCommand,
+		"logged":     loggedCommand,
+	}
+}
+
+// callCommand sends a call and waits for its end.
+func callCommand(s *Stage, a Arguments) error {
+	if err := s.Begin(a); err != nil {
+		return trace.Wrap(err)
+	}
+	_, err := s.Reply(a.Word(0))
+	return trace.Wrap(err)
+}
+
+// replyCommand compares a reply: NAME status= execution= type= body= replayed= cut= whole=. Alternatives are separated by |.
+func replyCommand(s *Stage, a Arguments) error {
+	reply, err := s.Reply(a.Word(0))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	got := map[string]string{
+		"status":    strconv.Itoa(reply.Status),
+		"execution": reply.Execution,
+		"type":      reply.Type,
+		"body":      strings.ReplaceAll(reply.Body, " ", "_"),
+		"replayed":  yes(reply.Replayed),
+		"cut":       yes(reply.Cut),
+		"whole":     yes(strings.Contains(reply.Body, "data: [DONE]")),
+		"events":    strconv.Itoa(strings.Count(reply.Body, "chat.completion.chunk")),
+	}
+	failures := make([]error, 0, len(a.Settings))
+	for name, want := range a.Settings {
+		failures = append(failures, expect(a.Word(0)+" "+name, want, got[name]))
+	}
+	if err := trace.NewAggregate(failures...); err != nil {
+		return trace.WrapWithMessage(err, "the reply was %+v", reply)
+	}
+	return nil
+}
+
+func yes(holds bool) string {
+	if holds {
+		return "yes"
+	}
+	return "no"
+}
+
+// executionsCommand compares how often a name was executed over all services: NAME COUNT.
+func executionsCommand(s *Stage, a Arguments) error {
+	return expect("executions of "+a.Word(0), a.Word(1), strconv.Itoa(s.executions(a.Word(0))))
+}
+
+func (s *Stage) executions(name string) int {
+	total := 0
+	for _, service := range s.World.Services {
+		total += service.Executions(name)
+	}
+	return total
+}
+
+// routerCommand changes a router: kill, stop, start, cut or heal NAME; broker and owner stand for the instance that brokers the model pool or owns a key.
+func routerCommand(s *Stage, a Arguments) error {
+	name, err := s.routerName(a.Word(1))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if a.Word(0) == "start" {
+		return s.World.StartRouter(name, "zone-a")
+	}
+	router, err := s.World.Find(name)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	switch a.Word(0) {
+	case "kill":
+		router.Kill()
+		if a.Settings["listed"] != "yes" {
+			s.World.List.Remove(name)
+		}
+	case "stop":
+		s.World.List.Remove(name)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		return router.Stop(ctx)
+	case "cut":
+		s.World.Network.Cut(name)
+	case "heal":
+		s.World.Network.Heal(name)
+	default:
+		return trace.BadParameter("router does not know %s", a.Word(0))
+	}
+	return nil
+}
+
+// routerName resolves "alive" to a router that is ready, "broker" to the instance that brokers the model pool, and "owner:KEY" to the owner of the key of account-1.
+func (s *Stage) routerName(name string) (string, error) {
+	key, isOwner := strings.CutPrefix(name, "owner:")
+	if name != "alive" && name != "broker" && !isOwner {
+		return name, nil
+	}
+	for _, r := range s.World.All() {
+		switch {
+		case !r.Router.Ready():
+			continue
+		case isOwner:
+			return r.Router.OwnerOf("account-1", key), nil
+		case name == "broker":
+			return r.Router.Status(time.Now()).Brokers[hwworld.ModelPool], nil
+		default:
+			return r.Name, nil
+		}
+	}
+	return "", trace.NotFound("no router is ready")
+}
+
+// storeCommand changes the store: down, up, slow MS, lose-answers N, lose-calls N, cut-watches, replay, lapse.
+func storeCommand(s *Stage, a Arguments) error {
+	number, _ := strconv.Atoi(a.Word(1))
+	switch a.Word(0) {
+	case "down":
+		s.World.Store.SetFaults(hwfakestore.Faults{
+			Down: true,
+		})
+	case "up":
+		s.World.Store.SetFaults(hwfakestore.Faults{})
+	case "slow":
+		s.World.Store.SetFaults(hwfakestore.Faults{
+			Delay: time.Duration(number) * time.Millisecond,
+		})
+	case "lose-answers":
+		s.World.Store.SetFaults(hwfakestore.Faults{
+			LoseAnswers: number,
+		})
+	case "lose-calls":
+		s.World.Store.SetFaults(hwfakestore.Faults{
+			LoseCalls: number,
+		})
+	case "cut-watches":
+		s.World.Store.CutWatches()
+	case "replay":
+		s.World.Store.Replay()
+	case "lapse":
+		s.World.Store.LapseLeases()
+	default:
+		return trace.BadParameter("store does not know %s", a.Word(0))
+	}
+	return nil
+}
+
+// listCommand changes the list of instances: down, up, remove NAME, leaving NAME.
+func listCommand(s *Stage, a Arguments) error {
+	switch a.Word(0) {
+	case "down", "up":
+		s.World.List.SetDown(a.Word(0) == "down")
+	case "remove":
+		s.World.List.Remove(a.Word(1))
+	case "leaving":
+		router, err := s.World.Find(a.Word(1))
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		s.World.List.Put(hwfakelist.Instance{
+			Name:    router.Name,
+			Address: router.Peers(),
+			Zone:    router.Zone,
+			Leaving: true,
+		})
+	default:
+		return trace.BadParameter("list does not know %s", a.Word(0))
+	}
+	return nil
+}
+
+// engineCommand changes an engine: kill, start, silence, slow FACTOR; the first word is its number or all.
+func engineCommand(s *Stage, a Arguments) error {
+	for i, engine := range s.World.Engines {
+		if a.Word(0) != "all" && a.Word(0) != strconv.Itoa(i+1) {
+			continue
+		}
+		switch a.Word(1) {
+		case "kill":
+			engine.Server.Kill()
+		case "start":
+			if err := engine.Server.Start(); err != nil {
+				return trace.Wrap(err)
+			}
+		case "silence":
+			engine.Silence()
+		case "slow":
+			factor, err := strconv.ParseFloat(a.Word(2), 64)
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			engine.Slow(factor)
+		default:
+			return trace.BadParameter("engine does not know %s", a.Word(1))
+		}
+	}
+	return nil
+}
+
+// serviceCommand changes all services: fail FAULT, swap, hold, release, kill, start.
+func serviceCommand(s *Stage, a Arguments) error {
+	for _, service := range s.World.Services {
+		switch a.Word(0) {
+		case "fail":
+			service.Fail(hwfakeservice.Fault(a.Word(1)))
+		case "swap":
+			service.Swap()
+		case "hold":
+			service.Hold()
+		case "release":
+			service.Release()
+		case "kill":
+			service.Server.Kill()
+		case "start":
+			if err := service.Server.Start(); err != nil {
+				return trace.Wrap(err)
+			}
+		default:
+			return trace.BadParameter("service does not know %s", a.Word(0))
+		}
+	}
+	return nil
+}
+
+// documentCommand puts a changed document: drain=N takes engine N out of new work, share=X sets the share of account-1, broken=yes puts one that is not valid.
+func documentCommand(s *Stage, a Arguments) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	document := s.World.Document()
+	if n := a.Number("drain", 0); n > 0 {
+		document.Pools[0].Upstreams[n-1].Draining = true
+	}
+	if share := a.Number("share", 0); share > 0 {
+		document.Accounts = slices.Clone(document.Accounts)
+		document.Accounts[0].Share = float64(share)
+	}
+	if a.Settings["broken"] == "yes" {
+		document.Accounts = nil
+	}
+	return s.World.Put(ctx, document)
+}
+
+// promoteCommand lets two operators promote at once and expects exactly one winner.
+func promoteCommand(s *Stage, a Arguments) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	// All of them have read the same head, so they race.
+	current, err := s.World.Current(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	operators := a.Number("operators", 2)
+	var tasks []<-chan error
+	for i := range operators {
+		tasks = append(tasks, hwtask.Start(ctx, func(ctx context.Context) error {
+			return s.World.Promote(ctx, current, fmt.Sprintf("operator-%d", i+1))
+		}))
+	}
+	won := 0
+	for _, task := range tasks {
+		err := <-task
+		var raced *hwworld.RacedError
+		switch {
+		case err == nil:
+			won++
+		case !errors.As(err, &raced):
+			return trace.Wrap(err)
+		}
+	}
+	return expect("operators that won", "1", strconv.Itoa(won))
+}
+
+// untilCommand waits for a state: version N [ROUTER], running N, executions NAME N, members ROUTER N, ready ROUTER, not-ready ROUTER, logged NAME, leased ROUTER yes|no, served ENGINE N, idle ENGINE.
+func untilCommand(s *Stage, a Arguments) error {
+	return Wait(strings.Join(a.Words, " "), func() bool {
+		got, err := s.state(a)
+		return err == nil && got
+	})
+}
+
+func (s *Stage) state(a Arguments) (bool, error) {
+	switch a.Word(0) {
+	case "version":
+		return s.everyRouter(a.Word(2), func(r *hwworld.Router) bool {
+			number, _ := r.Router.Version()
+			return strconv.FormatUint(number, 10) == a.Word(1)
+		}), nil
+	case "members":
+		return s.everyRouter(a.Word(1), func(r *hwworld.Router) bool {
+			return strconv.Itoa(len(r.Router.Alive())) == a.Word(2)
+		}), nil
+	case "leased":
+		return s.everyRouter(a.Word(1), func(r *hwworld.Router) bool {
+			for _, p := range r.Router.Status(time.Now()).Pools {
+				if p.Pool == hwworld.ModelPool {
+					return yes(p.Leased) == a.Word(2)
+				}
+			}
+			return false
+		}), nil
+	case "running":
+		total := 0
+		for _, service := range s.World.Services {
+			total += service.Running()
+		}
+		return strconv.Itoa(total) == a.Word(1), nil
+	case "streaming":
+		total := int64(0)
+		for _, engine := range s.World.Engines {
+			running, _ := engine.Running()
+			total += running
+		}
+		return strconv.FormatInt(total, 10) == a.Word(1), nil
+	case "idle":
+		number, err := strconv.Atoi(a.Word(1))
+		running, _ := s.World.Engines[number-1].Running()
+		return running == 0, err
+	case "can-order":
+		// The order is sent until the record can be written again.
+		if err := callCommand(s, Parse([]string{"until", a.Word(1), "POST", "/services/desk/orders", "key=" + a.Word(2), "body=order"})); err != nil {
+			return false, err
+		}
+		reply, err := s.Reply("until")
+		return reply.Status == http.StatusOK, err
+	case "at-most":
+		limit, err := strconv.Atoi(a.Word(2))
+		running := 0
+		for _, service := range s.World.Services {
+			running += service.Running()
+		}
+		return running == 0 && s.executions(a.Word(1)) <= limit, err
+	case "engines-down-at-most":
+		limit, err := strconv.Atoi(a.Word(1))
+		down := 0
+		for _, engine := range s.World.Engines {
+			if !engine.Server.Up() {
+				down++
+			}
+		}
+		return down <= limit, err
+	case "served":
+		number, err := strconv.Atoi(a.Word(1))
+		if err != nil {
+			return false, trace.Wrap(err)
+		}
+		least, err := strconv.Atoi(a.Word(2))
+		return s.World.Engines[number-1].Served() >= int64(least), err
+	case "no-new-work":
+		return s.noNewWork(a.Word(1))
+	case "version-somewhere":
+		for _, r := range s.World.All() {
+			if number, _ := r.Router.Version(); strconv.FormatUint(number, 10) == a.Word(1) && r.Router.Ready() {
+				return true, nil
+			}
+		}
+		return false, nil
+	case "executions":
+		return strconv.Itoa(s.executions(a.Word(1))) == a.Word(2), nil
+	case "ready":
+		return s.everyRouter(a.Word(1), func(r *hwworld.Router) bool { return r.Router.Ready() }), nil
+	case "logged":
+		return strings.Contains(s.Log(), `"name":"`+a.Word(1)+`"`), nil
+	default:
+		return false, trace.BadParameter("until does not know %s", a.Word(0))
+	}
+}
+
+// quietRequests is how many requests the other engines must serve before one without new work counts as quiet.
+const quietRequests = 20
+
+// noNewWork waits until the other engines have served many requests while one served none.
+func (s *Stage) noNewWork(word string) (bool, error) {
+	number, err := strconv.Atoi(word)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	before := s.World.Engines[number-1].Served()
+	others := func() int64 {
+		total := int64(0)
+		for i, engine := range s.World.Engines {
+			if i != number-1 {
+				total += engine.Served()
+			}
+		}
+		return total
+	}
+	begun := others()
+	err = Wait("other engines serve", func() bool { return others() >= begun+quietRequests })
+	return s.World.Engines[number-1].Served() == before, err
+}
+
+// everyRouter asks the named router, or all that are running.
+func (s *Stage) everyRouter(name string, holds func(*hwworld.Router) bool) bool {
+	for _, r := range s.World.All() {
+		if name != r.Name && !r.Router.Ready() {
+			continue
+		}
+		if (name == "" || name == "all" || name == r.Name) && !holds(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// loadCommand starts or ends a mixed load on all routers: start, or end with not-cut=yes to expect that every request ended as its caller was told.
+func loadCommand(s *Stage, a Arguments) error {
+	if a.Word(0) == "start" {
+		return s.startLoad(a)
+	}
+	s.load()
+	if err := hwtask.Join(s.loaded); err != nil {
+		return trace.Wrap(err)
+	}
+	s.load = nil
+	most, times := "", 0
+	for _, service := range s.World.Services {
+		if name, count := service.Most(); count > times {
+			most, times = name, count
+		}
+	}
+	failures := []error{
+		expect("requests unaccounted for", "0", strconv.Itoa(s.books.Unaccounted())),
+		expect("broken answers", "0", strconv.Itoa(s.books.Count("", hwload.Broken))),
+	}
+	if times > 1 {
+		failures = append(failures, expect("executions of "+most, "1", strconv.Itoa(times)))
+	}
+	if a.Settings["unknown"] != "" {
+		failures = append(failures, expect("unknown outcomes", a.Settings["unknown"], strconv.Itoa(s.books.Count("", hwload.Unknown))))
+	}
+	if s.books.Count("", hwload.Answered) == 0 {
+		failures = append(failures, expect("answered requests", "some", "none"))
+	}
+	return trace.NewAggregate(failures...)
+}
+
+// startLoad sends model requests and orders of both accounts through the routers named, or all.
+func (s *Stage) startLoad(a Arguments) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.load = cancel
+	s.books = hwload.NewBooks()
+	client := hwload.NewClient(0)
+	var tasks []<-chan error
+	for i, router := range s.World.All() {
+		if named := a.Settings["routers"]; named != "" && !strings.Contains(","+named+",", ","+router.Name+",") {
+			continue
+		}
+		for j, service := range []bool{true, false} {
+			if service && a.Settings["only"] == "model" {
+				continue
+			}
+			source := hwload.Source{
+				Account: fmt.Sprintf("account-%d", j+1),
+				Router:  router.Name,
+				Clients: a.Number("clients", 3),
+				Service: service,
+				Label:   "load",
+				Sizes: hwload.Sizes{
+					Median: 8,
+					Spread: 0.5,
+				},
+			}
+			tasks = append(tasks, hwtask.Start(ctx, func(ctx context.Context) error {
+				client.Run(ctx, s.address, source, uint64(10*i+j), s.books)
+				return nil
+			}))
+		}
+	}
+	s.loaded = hwtask.Start(ctx, func(context.Context) error {
+		defer client.Close()
+		return hwtask.Join(tasks...)
+	})
+	return nil
+}
+
+// address follows the platform's balancer: a router that is not ready gets nothing new; another one takes its place.
+func (s *Stage) address(name string) string {
+	named, err := s.World.Find(name)
+	if err == nil && named.Router.Ready() {
+		return named.Callers
+	}
+	for _, r := range s.World.All() {
+		if r.Router.Ready() {
+			return r.Callers
+		}
+	}
+	return named.Callers
+}
+
+// loggedCommand expects that an event was logged, or with not that none was.
+func loggedCommand(s *Stage, a Arguments) error {
+	want := "yes"
+	name := a.Word(0)
+	if name == "not" {
+		want = "no"
+		name = a.Word(1)
+	}
+	return expect("logged "+name, want, yes(strings.Contains(s.Log(), `"name":"`+name+`"`)))
+}
--- /dev/null
+++ b/cmd/hickorywick-standin/internal/hwscript/stage.go
@@ -0,0 +1,298 @@
+// Package hwscript is the small language of the scenarios: commands that change a world of stand-ins and routers, send calls, and wait for states.
+package hwscript
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwfakeengine"
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwload"
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwworld"
+	"github.com/hickorywick/hickorywick/lib/hwdocument"
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwrouter"
+	"github.com/hickorywick/hickorywick/lib/hwtask"
+)
+
+// patience bounds every wait for a state. It is no measure of speed: it only ends a scenario that went wrong.
+const patience = 30 * time.Second
+
+// pollEvery is how often a state is looked at.
+const pollEvery = 10 * time.Millisecond
+
+// Arguments are a command's words: names by position and settings by name.
+type Arguments struct {
+	Words    []string
+	Settings map[string]string
+}
+
+// Parse splits words such as "router-1 key=k body=two".
+func Parse(words []string) Arguments {
+	a := Arguments{
+		Settings: map[string]string{},
+	}
+	for _, word := range words {
+		if name, value, found := strings.Cut(word, "="); found {
+			a.Settings[name] = value
+			continue
+		}
+		a.Words = append(a.Words, word)
+	}
+	return a
+}
+
+// Word returns the i-th word or nothing.
+func (a Arguments) Word(i int) string {
+	if i < len(a.Words) {
+		return a.Words[i]
+	}
+	return ""
+}
+
+// Number returns a setting as a number, or the given one if it is absent.
+func (a Arguments) Number(name string, absent int) int {
+	if value, err := strconv.Atoi(a.Settings[name]); err == nil {
+		return value
+	}
+	return absent
+}
+
+// Reply is what a caller got.
+type Reply struct {
+	Status    int
+	Execution string
+	Type      string
+	Body      string
+	Replayed  bool
+	// Cut tells that the connection broke before the answer's end.
+	Cut bool
+}
+
+// call is a call under way or ended.
+type call struct {
+	done  <-chan error
+	reply Reply
+}
+
+// Stage is one scenario's world with the calls that were made.
+type Stage struct {
+	World *hwworld.World
+	log   *logBook
+	// client keeps connections for as long as a scenario lasts.
+	client *http.Client
+	lock   sync.Mutex
+	calls  map[string]*call
+	load   context.CancelFunc
+	loaded <-chan error
+	books  *hwload.Books
+}
+
+// logBook keeps the routers' log lines.
+type logBook struct {
+	lock  sync.Mutex
+	lines strings.Builder
+}
+
+// Write takes a line.
+func (l *logBook) Write(line []byte) (int, error) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.lines.Write(line)
+}
+
+func (l *logBook) text() string {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.lines.String()
+}
+
+// times are those of the product but for a short drain, since no balancer has to notice.
+func times() hwrouter.Times {
+	t := hwrouter.DefaultTimes()
+	t.DrainGrace = 50 * time.Millisecond
+	t.ListEvery = 200 * time.Millisecond
+	t.StoreRecheck = 2 * time.Second
+	return t
+}
+
+// NewStage starts a world. Settings: routers, engines, services, slots, accounts, list-lag in ms.
+func NewStage(a Arguments) (*Stage, error) {
+	s := &Stage{
+		log:    &logBook{},
+		client: &http.Client{},
+		calls:  map[string]*call{},
+	}
+	accounts := []hwdocument.Account{}
+	for i := range a.Number("accounts", 2) {
+		accounts = append(accounts, hwdocument.Account{
+			Name:       fmt.Sprintf("account-%d", i+1),
+			Share:      1,
+			KeySHA256:  []string{hwworld.KeyDigest(fmt.Sprintf("account-%d", i+1))},
+			QueueBound: a.Number("queue", 256),
+		})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	world, err := hwworld.New(ctx, hwworld.Settings{
+		Routers:     a.Number("routers", 3),
+		Zones:       3,
+		Engines:     a.Number("engines", 3),
+		EngineSlots: a.Number("slots", 8),
+		Engine: hwfakeengine.Settings{
+			TokenTime:  5 * time.Millisecond,
+			FirstToken: 5 * time.Millisecond,
+		},
+		Services:     a.Number("services", 2),
+		ServiceSlots: a.Number("slots", 8),
+		Accounts:     accounts,
+		Coordination: hwrouter.Leased,
+		Gain:         hwrouter.DefaultGain,
+		LongFactor:   hwrouter.DefaultLongFactor,
+		Times:        times(),
+		ListLag:      time.Duration(a.Number("list-lag", 0)) * time.Millisecond,
+		QueueTimeout: 10 * time.Second,
+		Resumes:      a.Settings["resumes"] != "no",
+		Log:          s.log,
+		LogLevel:     hwevent.Debug,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s.World = world
+	return s, world.WaitReady(ctx)
+}
+
+// Close ends the scenario's world.
+func (s *Stage) Close() {
+	if s.load != nil {
+		s.load()
+	}
+	s.client.CloseIdleConnections()
+	s.World.Close()
+}
+
+// Log returns every line that the routers logged.
+func (s *Stage) Log() string { return s.log.text() }
+
+// Begin sends a call: NAME ROUTER METHOD PATH, with the settings account, key, body, tokens, millis, stream, crash.
+func (s *Stage) Begin(a Arguments) error {
+	name := a.Word(0)
+	resolved, err := s.routerName(a.Word(1))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	router, err := s.World.Find(resolved)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	request, err := s.request(router.Callers, a)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c := &call{}
+	s.lock.Lock()
+	s.calls[name] = c
+	s.lock.Unlock()
+	c.done = hwtask.Start(context.Background(), func(context.Context) error {
+		c.reply = s.send(request)
+		return nil
+	})
+	return nil
+}
+
+func (s *Stage) request(address string, a Arguments) (*http.Request, error) {
+	method, path := a.Word(2), a.Word(3)
+	body := a.Settings["body"]
+	if path == "/v1/chat/completions" {
+		body = fmt.Sprintf(`{"model":%q,"stream":%v,"messages":[{"role":"user","content":%q}]}`,
+			hwworld.Model, a.Settings["stream"] != "no", body)
+	}
+	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	account := a.Settings["account"]
+	if account == "" {
+		account = "account-1"
+	}
+	request.Header.Set("Authorization", "Bearer "+hwworld.Key(account))
+	headers := map[string]string{
+		"key":    "Idempotency-Key",
+		"tokens": hwfakeengine.TokensHeader,
+		"millis": "X-Standin-Millis",
+		"crash":  hwfakeengine.CrashHeader,
+	}
+	for name, header := range headers {
+		if value := a.Settings[name]; value != "" {
+			request.Header.Set(header, value)
+		}
+	}
+	return request, nil
+}
+
+func (s *Stage) send(request *http.Request) Reply {
+	response, err := s.client.Do(request)
+	if err != nil {
+		return Reply{
+			Cut: true,
+		}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	reply := Reply{
+		Status:    response.StatusCode,
+		Execution: response.Header.Get("X-Execution"),
+		Body:      string(body),
+		Replayed:  response.Header.Get(hwrouter.ReplayHeader) == "true",
+		Cut:       err != nil,
+	}
+	reply.Type = fieldOf(reply.Body, "type")
+	if execution := fieldOf(reply.Body, "execution"); execution != "" {
+		reply.Execution = execution
+	}
+	return reply
+}
+
+// fieldOf finds a field of a JSON error, also as the last event of a stream.
+func fieldOf(body, name string) string {
+	_, rest, found := strings.Cut(body, `"`+name+`":"`)
+	if !found {
+		return ""
+	}
+	value, _, _ := strings.Cut(rest, `"`)
+	return value
+}
+
+// Reply waits for the end of a call and returns what its caller got.
+func (s *Stage) Reply(name string) (Reply, error) {
+	s.lock.Lock()
+	c, known := s.calls[name]
+	s.lock.Unlock()
+	if !known {
+		return Reply{}, trace.NotFound("there is no call %s", name)
+	}
+	select {
+	case <-c.done:
+		return c.reply, nil
+	case <-time.After(patience):
+		return Reply{}, trace.LimitExceeded("call %s did not end", name)
+	}
+}
+
+// Wait waits until a state holds.
+func Wait(what string, holds func() bool) error {
+	for limit := time.Now().Add(patience); time.Now().Before(limit); time.Sleep(pollEvery) {
+		if holds() {
+			return nil
+		}
+	}
+	return trace.LimitExceeded("waited in vain for: %s", what)
+}
--- a/cmd/hickorywick-standin/internal/hwworld/server.go
+++ b/cmd/hickorywick-standin/internal/hwworld/server.go
@@ -68,3 +68,10 @@
 
 // Address returns the IP number and port.
 func (s *Server) Address() string { return s.address }
+
+// Up reports whether the server listens.
+func (s *Server) Up() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.server != nil
+}
--- a/cmd/hickorywick-standin/internal/hwworld/world.go
+++ b/cmd/hickorywick-standin/internal/hwworld/world.go
@@ -5,8 +5,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -24,6 +22,8 @@
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwfakestore"
 	"github.com/hickorywick/hickorywick/lib/hwdocument"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwhead"
+	"github.com/hickorywick/hickorywick/lib/hwintake"
 	"github.com/hickorywick/hickorywick/lib/hwpeer"
 	"github.com/hickorywick/hickorywick/lib/hwrouter"
 	"github.com/hickorywick/hickorywick/lib/hwstore"
@@ -273,38 +273,53 @@
 // ListEndpoint returns the URL of the instance list.
 func (w *World) ListEndpoint() string { return "http://" + w.list.Address() + "/instances" }
 
-// Put writes a document as the next version.
+// RacedError says that another operator won.
+type RacedError = hwhead.RacedError
+
+// writePatience is how long a lost answer of the store is read back.
+const writePatience = 10 * time.Second
+
+func (w *World) publisher() *hwhead.Publisher {
+	return hwhead.New(w.StoreClient(time.Second), writePatience)
+}
+
+// Put writes a document as the next version, valid or not: operators' tools check documents before, and routers must not rely on that.
 func (w *World) Put(ctx context.Context, document *hwdocument.Document) error {
 	body, err := yaml.Marshal(document)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	store := w.StoreClient(time.Second)
-	digest := hwdocument.Digest(body)
-	if _, err := store.Put(ctx, hwdocument.BodyKey(digest), body, 0, hwstore.NoLease); err != nil && !isConflict(err) {
-		return trace.Wrap(err)
-	}
-	current, err := store.Get(ctx, hwdocument.HeadKey(Environment))
+	publisher := w.publisher()
+	current, err := publisher.Current(ctx, Environment)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	var head hwdocument.Head
-	if len(current.Bytes) > 0 {
-		if err := json.Unmarshal(current.Bytes, &head); err != nil {
-			return trace.Wrap(err)
-		}
-	}
-	text, err := json.Marshal(head.Next(time.Now(), digest, "world", "world"))
-	if err != nil {
+	if err := publisher.PutBody(ctx, hwdocument.Digest(body), body); err != nil {
 		return trace.Wrap(err)
 	}
-	_, err = store.Put(ctx, hwdocument.HeadKey(Environment), text, current.Revision, hwstore.NoLease)
+	_, err = publisher.Swap(ctx, time.Now(), current, hwhead.Write{
+		Environment: Environment,
+		Digest:      hwdocument.Digest(body),
+		Author:      "world",
+		Operation:   hwintake.NewID(),
+	})
 	return trace.Wrap(err)
 }
 
-func isConflict(err error) bool {
-	var conflict *hwstore.ConflictError
-	return errors.As(err, &conflict)
+// Current returns the head as it is now.
+func (w *World) Current(ctx context.Context) (hwhead.Current, error) {
+	return w.publisher().Current(ctx, Environment)
+}
+
+// Promote makes the document of a head that was read before the next version, as an operator.
+func (w *World) Promote(ctx context.Context, current hwhead.Current, operator string) error {
+	_, err := w.publisher().Swap(ctx, time.Now(), current, hwhead.Write{
+		Environment: Environment,
+		Digest:      current.Head.Digest,
+		Author:      operator,
+		Operation:   hwintake.NewID(),
+	})
+	return trace.Wrap(err)
 }
 
 // StartRouter starts a router under a name, as a new life with empty state.
@@ -403,6 +418,9 @@
 	}, nil
 }
 
+// Peers returns the address of the router's peers' listener.
+func (r *Router) Peers() string { return r.listeners.Peers.Addr().String() }
+
 // Find returns a router by name.
 func (w *World) Find(name string) (*Router, error) {
 	w.lock.Lock()
--- a/lib/hwdispatch/dispatcher.go
+++ b/lib/hwdispatch/dispatcher.go
@@ -60,6 +60,7 @@
 	estimator *hwshare.Estimator
 	holder    *hwslot.Holder
 	detector  *hwlimit.Detector
+	health    *hwlimit.Health
 	chooser   *hwroute.Chooser
 	accounts  map[string]*account
 	running   map[string]*running
@@ -93,6 +94,10 @@
 			RecoveredPermille: recoveredPermille,
 			MinimumSamples:    minimumSamples,
 		}),
+		health: hwlimit.NewHealth(hwlimit.HealthSettings{
+			First: firstPause,
+			Cap:   longestPause,
+		}),
 		chooser: hwroute.New(hwroute.Settings{
 			Zone:             settings.Zone,
 			AffinityEntries:  affinityEntries,
@@ -114,6 +119,8 @@
 	slowPermille      = 2000
 	recoveredPermille = 1500
 	minimumSamples    = 20
+	firstPause        = 250 * time.Millisecond
+	longestPause      = 5 * time.Second
 	affinityEntries   = 10000
 	affinityDiscount  = 0.3
 	zoneCostSeconds   = 0.001
@@ -256,7 +263,7 @@
 		if len(upstreams) == 0 {
 			return effects
 		}
-		start, found := d.startOne(now, d.candidates(upstreams))
+		start, found := d.startOne(now, d.candidates(now, upstreams))
 		if !found {
 			return effects
 		}
@@ -272,7 +279,7 @@
 			continue
 		}
 		estimate := d.estimate(entry.Item)
-		upstream, chosen := d.chooser.Choose(candidates, entry.Item.Prefix, estimate, entry.Item.Excluded)
+		upstream, chosen := d.chooser.Choose(candidates, entry.Item.Prefix, estimate, d.excluded(entry.Item))
 		if !chosen {
 			// Only upstreams that this request has tried are free; the next account may use them.
 			continue
@@ -287,6 +294,30 @@
 	return Start{}, false
 }
 
+// excluded returns the upstreams that a request should avoid. When it would have to avoid all there are, it may use any.
+func (d *Dispatcher) excluded(request Request) []string {
+	avoid := request.Excluded
+	if request.Suspect {
+		avoid = append(slices.Clone(avoid), d.withSuspects()...)
+	}
+	for _, u := range d.pool.Upstreams {
+		if !u.Draining && !slices.Contains(avoid, u.Address) {
+			return avoid
+		}
+	}
+	return nil
+}
+
+func (d *Dispatcher) withSuspects() []string {
+	var upstreams []string
+	for _, r := range d.running {
+		if r.request.Suspect {
+			upstreams = append(upstreams, r.upstream)
+		}
+	}
+	return upstreams
+}
+
 func (d *Dispatcher) start(now time.Time, entry hwshare.Entry[Request], upstream string, estimate float64) {
 	d.holder.Take(upstream)
 	a := d.account(entry.Account)
@@ -307,9 +338,16 @@
 	d.settleBacklog(now, entry.Account)
 }
 
-func (d *Dispatcher) candidates(upstreams []string) []hwroute.Candidate {
+// candidates returns the upstreams with a free slot that can be reached. If none of the pool can, any may be tried, so that callers learn of it at once.
+func (d *Dispatcher) candidates(now time.Time, upstreams []string) []hwroute.Candidate {
+	reachable := slices.ContainsFunc(d.pool.Upstreams, func(u hwdocument.Upstream) bool {
+		return !u.Draining && d.health.Usable(now, u.Address)
+	})
 	candidates := make([]hwroute.Candidate, 0, len(upstreams))
 	for _, u := range upstreams {
+		if reachable && !d.health.Usable(now, u) {
+			continue
+		}
 		candidates = append(candidates, hwroute.Candidate{
 			Upstream:       u,
 			Zone:           d.zones[u],
@@ -356,6 +394,12 @@
 		return Effects{}
 	}
 	d.charge(r, finish.Cost)
+	switch {
+	case finish.Unreached:
+		d.health.Failed(now, r.upstream)
+	case !finish.Failed:
+		d.health.Reached(r.upstream)
+	}
 	if !finish.Failed {
 		d.estimator.Learn(r.request.Account, r.request.Hint, finish.Cost)
 		d.observeWhole(now, r, finish.Cost)
--- a/lib/hwdispatch/messages.go
+++ b/lib/hwdispatch/messages.go
@@ -23,6 +23,8 @@
 	Excluded []string
 	// Again marks a request that was admitted before and goes to the front of its lane.
 	Again bool
+	// Suspect marks a request that was in flight at a crash. Two suspects do not share an upstream, so that a second crash tells which one caused it.
+	Suspect bool
 }
 
 // Start tells the caller to run a request at an upstream.
@@ -61,6 +63,8 @@
 	Cost float64
 	// Failed tells that the upstream did not give a whole answer.
 	Failed bool
+	// Unreached tells that no connection to the upstream could be opened.
+	Unreached bool
 }
 
 // AccountStatus is an account's state at this router.
--- a/lib/hwdispatch/report.go
+++ b/lib/hwdispatch/report.go
@@ -38,6 +38,9 @@
 	return d.holder.Report(now, rows, view, leaving)
 }
 
+// downPermille is the slowness reported of an upstream that cannot be reached. Its limit falls to the one slot that probes it.
+const downPermille = 1_000_000
+
 func (d *Dispatcher) judge(now time.Time) {
 	for _, j := range d.detector.Judge(now) {
 		permille := 0
@@ -46,6 +49,11 @@
 		}
 		d.holder.SetSlowness(j.Upstream, permille)
 	}
+	for _, u := range d.pool.Upstreams {
+		if d.health.Down(u.Address) {
+			d.holder.SetSlowness(u.Address, downPermille)
+		}
+	}
 }
 
 // Grant takes the broker's answer and starts what it allows.
--- a/lib/hwhead/publish.go
+++ b/lib/hwhead/publish.go
@@ -111,14 +111,14 @@
 	if err != nil {
 		return hwdocument.Head{}, trace.Wrap(err)
 	}
-	if err := p.putBody(ctx, write.Digest, body); err != nil {
+	if err := p.PutBody(ctx, write.Digest, body); err != nil {
 		return hwdocument.Head{}, trace.Wrap(err)
 	}
 	return p.Swap(ctx, now, current, write)
 }
 
-// putBody stores a body under its digest. A conflict means that the same bytes are there already.
-func (p *Publisher) putBody(ctx context.Context, digest string, body []byte) error {
+// PutBody stores a body under its digest. A conflict means that the same bytes are there already.
+func (p *Publisher) PutBody(ctx context.Context, digest string, body []byte) error {
 	_, err := p.store.Put(ctx, hwdocument.BodyKey(digest), body, 0, hwstore.NoLease)
 	var conflict *hwstore.ConflictError
 	var ambiguous *hwstore.AmbiguousError
--- /dev/null
+++ b/lib/hwquarantine/guard_test.go
@@ -0,0 +1,99 @@
+package hwquarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func newGuard() *hwquarantine.Guard {
+	return hwquarantine.New(hwquarantine.Settings{
+		Window:    time.Minute,
+		Upstreams: 2,
+		Entries:   8,
+	})
+}
+
+func strike(upstream string, after time.Duration) hwquarantine.Strike {
+	return hwquarantine.Strike{
+		Fingerprint: 1,
+		Upstream:    upstream,
+		At:          start.Add(after),
+	}
+}
+
+func TestQuarantine(t *testing.T) {
+	cleared := hwquarantine.Strike{
+		Fingerprint: 1,
+		At:          start.Add(2 * time.Second),
+		Cleared:     true,
+	}
+	cases := []struct {
+		name    string
+		strikes []hwquarantine.Strike
+		at      time.Duration
+		want    bool
+	}{
+		{"no strike", nil, 0, false},
+		{"one upstream crashed", []hwquarantine.Strike{strike("a", 0)}, time.Second, false},
+		{"the same upstream crashed twice", []hwquarantine.Strike{strike("a", 0), strike("a", time.Second)}, time.Second, false},
+		{"two upstreams crashed", []hwquarantine.Strike{strike("a", 0), strike("b", time.Second)}, time.Second, true},
+		{"a strike heard twice", []hwquarantine.Strike{strike("a", 0), strike("a", 0)}, time.Second, false},
+		{"answered after the first crash", []hwquarantine.Strike{strike("a", 0), cleared, strike("b", 3*time.Second)}, 3 * time.Second, false},
+		{"clearance heard before the strike", []hwquarantine.Strike{cleared, strike("a", 0), strike("b", time.Second)}, 3 * time.Second, false},
+		{"crashes after the clearance", []hwquarantine.Strike{cleared, strike("a", 3*time.Second), strike("b", 4*time.Second)}, 5 * time.Second, true},
+		{"freed when the first strike is old", []hwquarantine.Strike{strike("a", 0), strike("b", time.Second)}, 61 * time.Second, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGuard()
+			g.Merge(start, c.strikes...)
+			_, got := g.Quarantined(start.Add(c.at), 1)
+			assert.Equal(t, c.want, got)
+		})
+	}
+}
+
+func TestPeersLearnEverythingThatCounts(t *testing.T) {
+	g, peer := newGuard(), newGuard()
+	g.Merge(start, strike("a", 0), strike("b", time.Second))
+	assert.Equal(t, []hwquarantine.Fingerprint{1}, peer.Merge(start.Add(time.Second), g.Strikes(start.Add(time.Second), 10)...))
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	g := newGuard()
+	for i := range 100 {
+		g.Merge(start.Add(time.Duration(i)*time.Millisecond), hwquarantine.Strike{
+			Fingerprint: hwquarantine.Fingerprint(i),
+			Upstream:    "a",
+			At:          start,
+		})
+	}
+	assert.Len(t, g.Strikes(start, 1000), 8)
+}
+
+func ExampleGuard() {
+	now := time.Unix(1_700_000_000, 0)
+	g := hwquarantine.New(hwquarantine.Settings{
+		Window:    2 * time.Minute,
+		Upstreams: 2,
+		Entries:   1000,
+	})
+	f := hwquarantine.FingerprintOf("bar-staff", "/v1/completions", 42)
+	for _, upstream := range []string{"10.0.0.1:80", "10.0.0.2:80"} {
+		g.Merge(now, hwquarantine.Strike{
+			Fingerprint: f,
+			Upstream:    upstream,
+			At:          now,
+		})
+	}
+	until, quarantined := g.Quarantined(now, f)
+	fmt.Println(quarantined, until.Sub(now))
+	// Output: true 2m0s
+}
--- a/lib/hwrouter/members.go
+++ b/lib/hwrouter/members.go
@@ -144,6 +144,9 @@
 	return r.table.Members()
 }
 
+// Alive returns the instances that answer in this instance's view.
+func (r *Router) Alive() []string { return r.alive() }
+
 func (r *Router) alive() []string {
 	r.membersLock.Lock()
 	defer r.membersLock.Unlock()
@@ -242,11 +245,13 @@
 		Members:         hwpeer.MembersToWire(rows),
 		DocumentVersion: number,
 		DocumentDigest:  digest,
+		Strikes:         r.quarantine.rows(time.Now()),
 	})
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	r.withTable(func(now time.Time) { r.table.Merge(now, hwpeer.MembersFromWire(reply.GetMembers())) })
+	r.takeStrikes(time.Now(), reply.GetStrikes())
 	r.offeredByPeer(ctx, to.Address, reply.GetDocumentVersion(), reply.GetDocumentDigest())
 	if !reply.GetReached() {
 		return trace.ConnectionProblem(nil, "peer %s did not reach %s", to.Instance, target)
--- a/lib/hwrouter/once.go
+++ b/lib/hwrouter/once.go
@@ -78,6 +78,11 @@
 	return hwslot.First("once/"+strconv.Itoa(partition), r.alive())
 }
 
+// OwnerOf returns the instance that records an account's key in this instance's view.
+func (r *Router) OwnerOf(account, key string) string {
+	return r.ownerOf(hwonce.HashKey(account, key).Partition(oncePartitions))
+}
+
 // owned returns the table of a partition and starts its goroutine on first use.
 func (r *Router) owned(number int) *ownedPartition {
 	r.owners.lock.Lock()
--- a/lib/hwrouter/peers.go
+++ b/lib/hwrouter/peers.go
@@ -17,6 +17,7 @@
 // Gossip answers a probe, or probes a target for the sender, and exchanges membership rows and the document's version.
 func (r *Router) Gossip(ctx context.Context, in *hwpeerpb.GossipRequest) (*hwpeerpb.GossipReply, error) {
 	r.withTable(func(now time.Time) { r.table.Merge(now, hwpeer.MembersFromWire(in.GetMembers())) })
+	r.takeStrikes(time.Now(), in.GetStrikes())
 	reached := true
 	if in.GetTarget() != "" && in.GetTarget() != r.settings.Instance {
 		row, known := r.lookup(in.GetTarget())
@@ -37,6 +38,7 @@
 		Members:         hwpeer.MembersToWire(rows),
 		DocumentVersion: number,
 		DocumentDigest:  digest,
+		Strikes:         r.quarantine.rows(time.Now()),
 	}, nil
 }
 
--- a/lib/hwrouter/router.go
+++ b/lib/hwrouter/router.go
@@ -65,7 +65,8 @@
 	pools     map[string]*pool
 	brokers   map[string]*hosted
 
-	owners owners
+	owners     owners
+	quarantine *quarantine
 	// background runs short tasks that no caller waits for.
 	background *group
 
@@ -104,6 +105,7 @@
 			partitions: map[int]*ownedPartition{},
 		},
 		background: newGroup(running),
+		quarantine: newQuarantine(),
 		table: hwmember.New(hwmember.Settings{
 			ProbeEvery: settings.Times.ProbeEvery,
 			SuspectFor: settings.Times.SuspectFor,
@@ -261,7 +263,7 @@
 // Ready reports whether the router can serve callers.
 func (r *Router) Ready() bool {
 	listed := r.settings.InstanceList == "" || r.listed.Load()
-	return listed && r.Document() != nil && !r.stopping.Load()
+	return listed && r.Document() != nil && !r.stopping.Load() && r.running.Err() == nil
 }
 
 func (r *Router) pool(name string) *pool {
--- a/lib/hwrouter/serve.go
+++ b/lib/hwrouter/serve.go
@@ -17,6 +17,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwintake"
 	"github.com/hickorywick/hickorywick/lib/hwonce"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 	"github.com/hickorywick/hickorywick/lib/hwretry"
 	"github.com/hickorywick/hickorywick/lib/hwupstream"
 )
@@ -33,9 +34,13 @@
 	call   hwintake.Call
 	pool   *pool
 	writer http.ResponseWriter
+	// fingerprint names the request among those that crash upstreams.
+	fingerprint hwquarantine.Fingerprint
 	// attempts counts the attempts made.
 	attempts int
 	excluded []string
+	// handedOver tells that an earlier attempt may have reached an upstream.
+	handedOver bool
 	// events counts the events of a stream that the caller has.
 	events int
 	// lastEventID is the id of the last of them, by which an upstream resumes.
@@ -59,21 +64,26 @@
 func (r *Router) Serve(ctx context.Context, call hwintake.Call, writer http.ResponseWriter) {
 	r.metrics.requests.Add(1)
 	d := &delivery{
-		router: r,
-		call:   call,
-		pool:   r.pool(call.Pool.Name),
-		writer: writer,
+		router:      r,
+		call:        call,
+		pool:        r.pool(call.Pool.Name),
+		writer:      writer,
+		fingerprint: hwquarantine.FingerprintOf(call.Account.Name, call.Path, call.BodyHash),
 	}
 	if d.pool == nil {
 		d.refuse(hwerror.Refuse(hwerror.KindUnknownModel, hwevent.RequestRefused.Number, "the pool is not in force any more"))
 		return
 	}
 	d.pool.earn(time.Now())
-	refusal := d.once(ctx)
+	refusal := r.quarantine.refusal(time.Now(), d.fingerprint)
+	if refusal == nil {
+		refusal = d.once(ctx)
+	}
 	if refusal != nil {
 		d.refuse(refusal)
 		return
 	}
+	r.acquit(d.fingerprint)
 	r.metrics.outcomes.Add(string(hwerror.Ran), 1)
 }
 
@@ -146,12 +156,13 @@
 		Prefix:   d.call.Prefix,
 		Excluded: d.excluded,
 		Again:    d.attempts > 1,
+		Suspect:  d.router.quarantine.suspect(time.Now(), d.fingerprint),
 	}
 }
 
 // afterHandOver corrects a refusal to wait again: what an earlier attempt handed over may have run.
 func (d *delivery) afterHandOver(refusal *hwerror.Refusal) *hwerror.Refusal {
-	if len(d.excluded) == 0 {
+	if !d.handedOver {
 		return refusal
 	}
 	corrected := *refusal
@@ -169,12 +180,14 @@
 		Resumable:  d.call.Pool.ResumesStreams && d.lastEventID != "",
 		CallerGone: ctx.Err() != nil,
 	})
-	if next == hwretry.Stop || !d.pool.spend(time.Now()) {
+	if d.router.quarantine.refusal(time.Now(), d.fingerprint) != nil {
 		return false
 	}
-	if failure.HandedOver {
-		d.excluded = append(d.excluded, failure.Upstream)
+	if next == hwretry.Stop || !d.pool.spend(time.Now()) {
+		return false
 	}
+	d.excluded = append(d.excluded, failure.Upstream)
+	d.handedOver = d.handedOver || failure.HandedOver
 	d.resume = next == hwretry.Resume
 	d.router.metrics.retries.Add(1)
 	if d.resume {
@@ -193,7 +206,7 @@
 	switch {
 	case ctx.Err() != nil:
 		kind = hwerror.KindCallerGone
-	case !failure.HandedOver && len(d.excluded) == 0:
+	case !failure.HandedOver && !d.handedOver:
 		execution = hwerror.NotRun
 		kind = hwerror.KindNoUpstream
 		number = hwevent.UpstreamFailed.Number
@@ -261,19 +274,26 @@
 		answer.Close()
 	}
 	now := time.Now()
+	var failure *hwupstream.Error
+	if err != nil {
+		failure = d.failure(upstream, err)
+	}
 	if d.call.Pool.Kind == hwdocument.KindService {
 		d.cost += float64(now.Sub(began).Microseconds()) / 1000 * d.call.Pool.MillisecondWeight
 	}
 	d.pool.finish(now, id, hwdispatch.Finish{
-		Cost:   d.cost - d.base,
-		Failed: err != nil,
+		Cost:      d.cost - d.base,
+		Failed:    failure != nil,
+		Unreached: failure != nil && !failure.HandedOver,
 	})
 	d.base = d.cost
-	if err == nil {
+	if failure == nil {
 		return nil
 	}
-	failure := d.failure(upstream, err)
 	d.logFailure(failure)
+	if failure.Died && d.router.crashed(ctx, upstream) {
+		d.router.strike(d.fingerprint, upstream)
+	}
 	return failure
 }
 
