Cold start, pending work and silent members: three causes of wrong slot counts

Cause 1: at a cold start of the whole fleet the lagging list showed nobody, each instance took itself for the only one and leased itself everything: 289 of 144 slots in use. Cause 2: the whole estimate of a started long request counted as lag at once, so an account with long work lost every slot for seconds. Now one second ahead counts. Cause 3: the whole floor of a silent member was kept idle though it had held less: use fell from 132 to 105 slots when a broker was killed.

--- a/cmd/hickorywick-standin/internal/hwfakeengine/engine.go
+++ b/cmd/hickorywick-standin/internal/hwfakeengine/engine.go
@@ -48,6 +48,7 @@
 	silence  context.CancelFunc
 	reports  []report
 	crash    func()
+	orders   orders
 }
 
 type report struct {
@@ -102,6 +103,8 @@
 	switch r.URL.Path {
 	case "/v1/chat/completions", "/v1/completions":
 		e.complete(w, r)
+	case "/orders":
+		e.order(w, r)
 	case "/load":
 		e.load(w)
 	case "/metrics":
--- a/cmd/hickorywick-standin/internal/hwload/load.go
+++ b/cmd/hickorywick-standin/internal/hwload/load.go
@@ -61,6 +61,8 @@
 	Clients int
 	// Rate is how many requests a second arrive independently of answers; it is used when Clients is 0.
 	Rate func(since time.Duration) float64
+	// After delays the source's first request.
+	After time.Duration
 	// Sizes are those of model requests.
 	Sizes Sizes
 	// Service sends orders to the plain service in place of model requests.
@@ -96,6 +98,11 @@
 
 // Run sends a source's requests until the context ends and waits for the answers.
 func (c *Client) Run(ctx context.Context, address func(router string) string, source Source, seed uint64, books *Books) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(source.After):
+	}
 	if source.Clients > 0 {
 		c.closedLoop(ctx, address, source, seed, books)
 		return
--- a/cmd/hickorywick-standin/internal/hwmeasure/cases.go
+++ b/cmd/hickorywick-standin/internal/hwmeasure/cases.go
@@ -249,7 +249,7 @@
 	return Case{
 		Name:         name,
 		QueueTimeout: time.Minute,
-		Warmup:       10 * time.Second,
+		Warmup:       20 * time.Second,
 		Length:       15 * time.Second,
 		Sources: func(size Size) []hwload.Source {
 			rate := 0.3 * size.TokensPerSecond() / shortSizes.Median / 4
@@ -267,6 +267,7 @@
 						Account: Account(i),
 						Router:  Router(i % size.Routers),
 						Clients: size.Slots() / 2,
+						After:   2 * time.Second,
 						Sizes:   longSizes,
 						Label:   "long",
 					})
@@ -353,6 +354,7 @@
 			killed := r.Marks["kill"]
 			return []Figure{
 				figure("survivors-held-before", r.Note["survivors"], "slots"),
+				figure("gap-from-five-seconds-after", r.Books.Gap(killed.Add(5*time.Second), r.To, r.Size.ShareOf()), "tokens/share"),
 				figure("lowest-use-after", r.lowestUse(killed.Add(100*time.Millisecond), r.To), "slots"),
 				figure("use-after-five-seconds", r.meanUse(killed.Add(5*time.Second), r.To), "slots"),
 				figure("most-above-limit", r.mostAbove(), "slots"),
@@ -380,6 +382,8 @@
 		return trace.Wrap(err)
 	}
 	router.Kill()
+	// The platform's list shows the loss after its lag.
+	r.World.List.Remove(broker)
 	return nil
 }
 
--- a/cmd/hickorywick-standin/internal/hwmeasure/run.go
+++ b/cmd/hickorywick-standin/internal/hwmeasure/run.go
@@ -146,11 +146,21 @@
 	if r.Policy.Central {
 		name = Router(0)
 	}
+	// The platform's balancer sends nothing to an instance that is gone.
+	for _, router := range append(r.named(name), r.World.All()...) {
+		if router.Router.Ready() {
+			return router.Callers
+		}
+	}
+	return ""
+}
+
+func (r *Result) named(name string) []*hwworld.Router {
 	router, err := r.World.Find(name)
 	if err != nil {
-		return ""
+		return nil
 	}
-	return router.Callers
+	return []*hwworld.Router{router}
 }
 
 func (r *Result) watch(ctx context.Context) error {
--- a/cmd/hickorywick-standin/internal/hwscript/stage.go
+++ b/cmd/hickorywick-standin/internal/hwscript/stage.go
@@ -93,6 +93,8 @@
 	load   context.CancelFunc
 	loaded <-chan error
 	books  *hwload.Books
+	orders map[string]chan hwrouter.OrderResult
+	begun  []<-chan error
 }
 
 // logBook keeps the routers' log lines.
@@ -129,6 +131,7 @@
 		log:    &logBook{},
 		client: &http.Client{},
 		calls:  map[string]*call{},
+		orders: map[string]chan hwrouter.OrderResult{},
 	}
 	accounts := []hwdocument.Account{}
 	for i := range a.Number("accounts", 2) {
--- a/cmd/hickorywick-standin/internal/hwworld/world.go
+++ b/cmd/hickorywick-standin/internal/hwworld/world.go
@@ -167,6 +167,7 @@
 		if engine.Server, err = w.serve(engine.Engine); err != nil {
 			return trace.Wrap(err)
 		}
+		engine.CheckFencing(checksFencing(i))
 		w.Engines = append(w.Engines, engine)
 	}
 	for range w.settings.Services {
@@ -220,13 +221,17 @@
 	}
 	for i, engine := range w.Engines {
 		pool.Upstreams = append(pool.Upstreams, hwdocument.Upstream{
-			Address: engine.Server.Address(),
-			Zone:    w.zone(i),
+			Address:       engine.Server.Address(),
+			Zone:          w.zone(i),
+			ChecksFencing: checksFencing(i),
 		})
 	}
 	return pool
 }
 
+// checksFencing says which engines refuse old fencing numbers: every other one, as in a mixed deployment.
+func checksFencing(i int) bool { return i%2 == 0 }
+
 func (w *World) servicePool() hwdocument.Pool {
 	pool := hwdocument.Pool{
 		Name:  ServicePool,
--- a/lib/hwdispatch/charge.go
+++ b/lib/hwdispatch/charge.go
@@ -8,12 +8,19 @@
 	"github.com/hickorywick/hickorywick/lib/hwshare"
 )
 
-// pending returns the expected cost of what runs and is not charged yet, in cost units by account.
+// pendingHorizon is how far ahead a started request is counted. Counting the whole of a long request at its start would put its account far ahead at once and leave it without slots for seconds, its short work included.
+const pendingHorizon = time.Second
+
+// pending returns what running requests have used without being charged yet and what they will use within the horizon, in cost units by account.
 func (d *Dispatcher) pending(now time.Time) map[string]float64 {
 	sums := map[string]float64{}
 	for _, r := range d.running {
-		expected := math.Max(r.estimate, d.elapsedCost(now, r))
-		sums[r.request.Account] += math.Max(0, expected-r.charged)
+		used := math.Max(r.charged, d.elapsedCost(now, r))
+		ahead := math.Max(0, r.estimate-used)
+		if perUnit := d.detector.SecondsPerUnit(r.upstream); perUnit > 0 {
+			ahead = math.Min(ahead, pendingHorizon.Seconds()/perUnit)
+		}
+		sums[r.request.Account] += used - r.charged + ahead
 	}
 	return sums
 }
@@ -45,7 +52,7 @@
 	d.charge(r, cost)
 	if r.lane == hwshare.Short && d.lane(cost) == hwshare.Long {
 		r.lane = hwshare.Long
-		d.longInUse++
+		d.reserve.change(now, -1)
 	}
 }
 
--- a/lib/hwdispatch/dispatcher.go
+++ b/lib/hwdispatch/dispatcher.go
@@ -20,12 +20,12 @@
 	Boot     uint64
 	Zone     string
 	Lease    time.Duration
+	// Fixed gives the router its floor of slots for good, as a baseline.
+	Fixed bool
 	// Patience is how long short work goes before long work that arrived earlier.
 	Patience time.Duration
 	// LongFactor is how many times the pool's mean cost a request must exceed to count as long; 0 makes one lane of all work, first come first served.
 	LongFactor float64
-	// ShortMemory is how long part of the slots is kept from long work after short work arrived.
-	ShortMemory time.Duration
 	// CatchUp is the cap on what an account may catch up, in cost units per share.
 	CatchUp float64
 	// FirstEstimate is the expected cost before anything was learned, in cost units.
@@ -65,9 +65,7 @@
 	accounts  map[string]*account
 	running   map[string]*running
 	zones     map[string]string
-	longInUse int
-	// shortSeen is when short work last arrived.
-	shortSeen time.Time
+	reserve   reserve
 	// reported is each account's service at the last report, to bring the broker's counters up to date on arrival.
 	reported map[string]float64
 }
@@ -87,6 +85,7 @@
 			Boot:     settings.Boot,
 			Pool:     pool.Name,
 			Lease:    settings.Lease,
+			Fixed:    settings.Fixed,
 		}),
 		detector: hwlimit.New(hwlimit.Settings{
 			Window:            speedWindow,
@@ -180,9 +179,6 @@
 		Deadline: request.Deadline,
 		Item:     request,
 	}
-	if entry.Lane == hwshare.Short {
-		d.shortSeen = now
-	}
 	if request.Again {
 		d.queue.PushFront(entry)
 	} else {
@@ -324,8 +320,8 @@
 	a.running++
 	a.starts++
 	a.halveStarts(now)
-	if entry.Lane == hwshare.Long {
-		d.longInUse++
+	if entry.Lane == hwshare.Short {
+		d.reserve.change(now, 1)
 	}
 	d.running[entry.ID] = &running{
 		request:  entry.Item,
@@ -359,15 +355,6 @@
 	return candidates
 }
 
-// longAllowed keeps part of the slots from long work, but only while short work has been arriving: otherwise capacity would idle.
-func (d *Dispatcher) longAllowed(now time.Time) bool {
-	if now.Sub(d.shortSeen) > d.settings.ShortMemory {
-		return true
-	}
-	held, _ := d.holder.Held()
-	return d.longInUse*100 < max(1, held*d.pool.LongSlotsPercent/100)*100
-}
-
 // byCounter returns the accounts with waiting work, the lowest counter first; what runs counts with its expected cost.
 func (d *Dispatcher) byCounter(now time.Time) []string {
 	names := d.queue.Accounts()
@@ -404,8 +391,8 @@
 		d.estimator.Learn(r.request.Account, r.request.Hint, finish.Cost)
 		d.observeWhole(now, r, finish.Cost)
 	}
-	if r.lane == hwshare.Long {
-		d.longInUse--
+	if r.lane == hwshare.Short {
+		d.reserve.change(now, -1)
 	}
 	d.account(r.request.Account).running--
 	delete(d.running, id)
--- a/lib/hwdocument/check.go
+++ b/lib/hwdocument/check.go
@@ -85,7 +85,6 @@
 		c.unique(names, at+".name", pool.Name)
 		c.expect(pool.Kind == KindEngine || pool.Kind == KindService, at+".kind", "must be engine or service")
 		c.expect(pool.Slots > 0, at+".slots", "must be above 0")
-		c.expect(pool.LongSlotsPercent > 0 && pool.LongSlotsPercent <= 100, at+".long-slots-percent", "must be 1 to 100")
 		c.expect(pool.PromptWeight >= 0, at+".prompt-weight", "must not be negative")
 		c.expect(pool.GeneratedWeight > 0, at+".generated-weight", "must be above 0")
 		c.expect(pool.MillisecondWeight > 0, at+".millisecond-weight", "must be above 0")
--- a/lib/hwdocument/decode.go
+++ b/lib/hwdocument/decode.go
@@ -17,13 +17,12 @@
 
 // The values of fields that a document may leave out.
 const (
-	DefaultQueueBound       = 256
-	DefaultQueueTimeout     = 30 * time.Second
-	DefaultProgressTimeout  = 20 * time.Second
-	DefaultAnswerTimeout    = 5 * time.Minute
-	DefaultDeadline         = 30 * time.Second
-	DefaultLongSlotsPercent = 50
-	DefaultLargestCost      = 8192
+	DefaultQueueBound      = 256
+	DefaultQueueTimeout    = 30 * time.Second
+	DefaultProgressTimeout = 20 * time.Second
+	DefaultAnswerTimeout   = 5 * time.Minute
+	DefaultDeadline        = 30 * time.Second
+	DefaultLargestCost     = 8192
 )
 
 // Fault is one mistake in a document.
@@ -100,7 +99,6 @@
 		setDefault(&p.QueueTimeout, Duration(DefaultQueueTimeout))
 		setDefault(&p.ProgressTimeout, Duration(DefaultProgressTimeout))
 		setDefault(&p.AnswerTimeout, Duration(DefaultAnswerTimeout))
-		setDefault(&p.LongSlotsPercent, DefaultLongSlotsPercent)
 		setDefault(&p.GeneratedWeight, 1)
 		setDefault(&p.MillisecondWeight, 1)
 		setDefault(&p.LargestCost, DefaultLargestCost)
--- a/lib/hwdocument/document.go
+++ b/lib/hwdocument/document.go
@@ -52,7 +52,6 @@
 	Kind              Kind       `yaml:"kind"`
 	Models            []string   `yaml:"models"`
 	Slots             int        `yaml:"slots"`
-	LongSlotsPercent  int        `yaml:"long-slots-percent"`
 	PromptWeight      float64    `yaml:"prompt-weight"`
 	GeneratedWeight   float64    `yaml:"generated-weight"`
 	MillisecondWeight float64    `yaml:"millisecond-weight"`
--- a/lib/hwevent/catalogue.go
+++ b/lib/hwevent/catalogue.go
@@ -33,6 +33,7 @@
 	OutcomeNotRecorded  = register(1703, Warn, "outcome-not-recorded", "The outcome of a keyed request could not be recorded; a repeat is answered with unknown.")
 	RequestFinished     = register(1704, Debug, "request-finished", "A request ended; the line says how.")
 	UpstreamRanAgain    = register(1705, Info, "upstream-retry", "A repeatable request was sent to another upstream.")
+	OrderPlaced         = register(1706, Info, "order-placed", "An order to an upstream ended; the line says how.")
 	InstanceListStale   = register(1801, Warn, "instance-list-stale", "The list of instances could not be read; the last one stays in use.")
 	OperatorUnknown     = register(1901, Warn, "operator-refused", "A call to the operators' listener carried no valid key.")
 	UsageFlushed        = register(2001, Debug, "usage-flushed", "The hourly usage was written to the store.")
--- /dev/null
+++ b/lib/hwfence/lease_test.go
@@ -0,0 +1,52 @@
+package hwfence_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/hickorywick/hickorywick/lib/hwfence"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func TestDecide(t *testing.T) {
+	checking := hwfence.Order{ChecksFencing: true, Deadline: 2 * time.Second}
+	trusting := hwfence.Order{Deadline: 2 * time.Second}
+	confirmed := trusting
+	confirmed.Confirmed = true
+	cases := []struct {
+		name  string
+		after time.Duration
+		order hwfence.Order
+		want  hwfence.Decision
+	}{
+		{"an upstream that checks, lease held", time.Second, checking, hwfence.Send},
+		{"an upstream that checks, lease over", 10 * time.Second, checking, hwfence.Drop},
+		{"the holder before may still be ordering", time.Second, confirmed, hwfence.Wait},
+		{"not confirmed for this order", 3 * time.Second, trusting, hwfence.Confirm},
+		{"confirmed for this order", 3 * time.Second, confirmed, hwfence.Send},
+		{"confirmed, but the order might outlive the lease", 9 * time.Second, confirmed, hwfence.Confirm},
+		{"paused past the lease", 11 * time.Second, confirmed, hwfence.Drop},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			lease := hwfence.Acquired(start, start, 10*time.Second, 7)
+			got, _ := lease.Decide(start.Add(c.after), c.order)
+			assert.Equal(t, c.want, got)
+		})
+	}
+}
+
+func TestRenewalCountsFromTheSending(t *testing.T) {
+	lease := hwfence.Acquired(start, start.Add(time.Second), 10*time.Second, 7).WithRenewal(start.Add(5*time.Second), 10*time.Second)
+	assert.Equal(t, start.Add(15*time.Second), lease.Until)
+}
+
+func ExampleGate() {
+	var gate hwfence.Gate
+	fmt.Println(gate.Admit(4), gate.Admit(9), gate.Admit(4), gate.Admit(9))
+	// Output: true true false true
+}
--- a/lib/hwrouter/members.go
+++ b/lib/hwrouter/members.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -54,13 +55,20 @@
 		stale = err != nil
 		if err == nil {
 			r.withTable(func(now time.Time) { r.table.Observe(now, list) })
-			r.listed.Store(true)
+			r.noteListed(list)
 		}
 		pause(ctx, r.settings.Times.ListEvery)
 	}
 	return nil
 }
 
+func (r *Router) noteListed(list []hwmember.Listed) {
+	r.listed.Store(true)
+	if slices.ContainsFunc(list, func(l hwmember.Listed) bool { return l.Instance == r.settings.Instance }) {
+		r.selfListed.Store(true)
+	}
+}
+
 func fetchList(ctx context.Context, client *http.Client, url string) ([]hwmember.Listed, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/lib/hwrouter/pool.go
+++ b/lib/hwrouter/pool.go
@@ -65,9 +65,9 @@
 			Boot:          settings.Boot,
 			Zone:          settings.Zone,
 			Lease:         settings.Times.Lease,
+			Fixed:         settings.Coordination != Leased,
 			Patience:      shortPatience,
 			LongFactor:    settings.LongFactor,
-			ShortMemory:   shortMemory,
 			CatchUp:       catchUp(spec),
 			FirstEstimate: firstEstimate,
 		}, spec, document.Accounts, members, source),
@@ -224,11 +224,11 @@
 }
 
 // newBroker returns the broker of a pool for an instance that has just been chosen.
-func newBroker(now time.Time, settings Settings, document *hwdocument.Document, spec hwdocument.Pool, members []string) *hwslot.Broker {
+func newBroker(now time.Time, settings Settings, listen time.Duration, document *hwdocument.Document, spec hwdocument.Pool, members []string) *hwslot.Broker {
 	broker := hwslot.NewBroker(now, hwslot.BrokerSettings{
 		Pool:    spec.Name,
 		Lease:   settings.Times.Lease,
-		Listen:  2 * settings.Times.Heartbeat,
+		Listen:  listen,
 		Replan:  settings.Times.ReportEvery / 2,
 		CatchUp: catchUp(spec),
 		Static:  settings.Coordination == Static,
--- a/lib/hwrouter/report.go
+++ b/lib/hwrouter/report.go
@@ -92,6 +92,12 @@
 // takeReport answers a report if this instance is the pool's broker in its own view.
 func (r *Router) takeReport(ctx context.Context, now time.Time, report hwslot.Report) hwslot.Grant {
 	broker := r.brokerOf(report.Pool)
+	if !r.knowsFleet(now) {
+		return hwslot.Grant{
+			NotBroker: true,
+			Sequence:  report.Sequence,
+		}
+	}
 	if broker != r.settings.Instance {
 		if broker != "" && report.Instance != r.settings.Instance {
 			// The sender has reason to think that the broker is gone; find out.
@@ -115,6 +121,29 @@
 	return h.broker.Report(now, report)
 }
 
+// listenTime is how long a new broker only listens: one heartbeat of every router, and longer while the whole fleet may just be starting, because the list shows the others late.
+func (r *Router) listenTime(now time.Time) time.Duration {
+	listen := 2 * r.settings.Times.Heartbeat
+	if now.Sub(r.bootAt) < startTime {
+		listen += 2 * r.settings.Times.ListEvery
+	}
+	return listen
+}
+
+// startTime is how long an instance counts as starting.
+const startTime = 15 * time.Second
+
+// unlistedPatience is how long an instance waits to see itself in the list before it takes the list for all there is.
+const unlistedPatience = 10 * time.Second
+
+// knowsFleet reports whether the view of the fleet can be trusted. The list lags: until it shows this instance itself, it may not show the others that started with it, and every one of them would take the whole capacity for its own.
+func (r *Router) knowsFleet(now time.Time) bool {
+	if r.settings.InstanceList == "" || r.selfListed.Load() {
+		return true
+	}
+	return r.listed.Load() && now.Sub(r.bootAt) > unlistedPatience
+}
+
 // host returns the broker of a pool, and begins one when this instance has just been chosen.
 func (r *Router) host(now time.Time, name string) *hosted {
 	r.poolsLock.RLock()
@@ -138,7 +167,7 @@
 		return nil
 	}
 	h = &hosted{
-		broker: newBroker(now, r.settings, document, spec, members),
+		broker: newBroker(now, r.settings, r.listenTime(now), document, spec, members),
 	}
 	r.brokers[name] = h
 	return h
--- a/lib/hwrouter/router.go
+++ b/lib/hwrouter/router.go
@@ -53,8 +53,11 @@
 	metrics   *metrics
 	inForce   atomic.Pointer[version]
 	listed    atomic.Bool
-	stopping  atomic.Bool
-	servers   []*khttp.Server
+	// selfListed tells that the list shows this instance.
+	selfListed atomic.Bool
+	bootAt     time.Time
+	stopping   atomic.Bool
+	servers    []*khttp.Server
 
 	// membersLock guards table. Nothing is called under it but the table.
 	membersLock sync.Mutex
@@ -99,6 +102,7 @@
 		pools:     map[string]*pool{},
 		brokers:   map[string]*hosted{},
 		running:   running,
+		bootAt:    time.Now(),
 		cancel:    cancel,
 		installed: make(chan struct{}, 1),
 		owners: owners{
@@ -262,8 +266,7 @@
 
 // Ready reports whether the router can serve callers.
 func (r *Router) Ready() bool {
-	listed := r.settings.InstanceList == "" || r.listed.Load()
-	return listed && r.Document() != nil && !r.stopping.Load() && r.running.Err() == nil
+	return r.knowsFleet(time.Now()) && r.Document() != nil && !r.stopping.Load() && r.running.Err() == nil
 }
 
 func (r *Router) pool(name string) *pool {
--- a/lib/hwslot/allocate.go
+++ b/lib/hwslot/allocate.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// reserved returns the slots of an upstream that others may be using: what live routers hold, and the floor of members that are silent.
+// reserved returns the slots of an upstream that others may be using: what live routers hold, and what silent members keep without a lease.
 func (b *Broker) reserved(now time.Time, upstream string, except string) int {
 	total := 0
 	members := slices.Sorted(maps.Keys(b.members))
@@ -15,16 +15,57 @@
 		if name == except {
 			continue
 		}
-		r, known := b.routers[name]
-		if known && now.Sub(r.reported) <= b.settings.Lease {
+		r := b.routers[name]
+		if b.alive(now, r) {
 			total += r.upstreams[upstream].held
 			continue
 		}
-		total += Floor(upstream, b.Limit(upstream), name, members)
+		total += b.silent(r, upstream, name, members)
 	}
 	return total
 }
 
+// kept returns the slots that silent members may be using, over all upstreams.
+func (b *Broker) kept(now time.Time) int {
+	total := 0
+	members := slices.Sorted(maps.Keys(b.members))
+	for _, name := range members {
+		r := b.routers[name]
+		if b.alive(now, r) {
+			continue
+		}
+		for _, u := range b.names {
+			total += b.silent(r, u, name, members)
+		}
+	}
+	return total
+}
+
+// silent returns what a silent member keeps at an upstream.
+func (b *Broker) silent(r *router, upstream, name string, members []string) int {
+	held := b.unheard[upstream]
+	if r != nil {
+		held = r.upstreams[upstream].held
+	}
+	return Decayed(held, Floor(upstream, b.limits[upstream], name, members))
+}
+
+func (b *Broker) alive(now time.Time, r *router) bool {
+	return r != nil && now.Sub(r.reported) <= b.settings.Lease
+}
+
+// noteUnheard bounds what members hold that have not reported by the end of the listening: the broker before leased at most each upstream's limit, so they hold at most what the others do not.
+func (b *Broker) noteUnheard() {
+	b.unheard = map[string]int{}
+	for _, u := range b.names {
+		held := 0
+		for _, r := range b.routers {
+			held += r.upstreams[u].held
+		}
+		b.unheard[u] = max(0, b.limits[u]-held)
+	}
+}
+
 func (b *Broker) grant(now time.Time, report Report, r *router) Grant {
 	grant := Grant{
 		Sequence: report.Sequence,
@@ -42,6 +83,9 @@
 		target = 0
 	}
 	listening := now.Sub(b.started) < b.settings.Listen
+	if !listening && b.unheard == nil {
+		b.noteUnheard()
+	}
 	switch {
 	case listening:
 	case b.settings.Static:
--- a/lib/hwslot/broker.go
+++ b/lib/hwslot/broker.go
@@ -57,6 +57,8 @@
 	rateTotal float64
 	rateAt    time.Time
 	slowdown  map[string]map[string]int
+	// unheard is the most that a member holds at an upstream that has not reported to this broker; nil while it listens.
+	unheard map[string]int
 }
 
 // NewBroker returns a broker that begins to listen now.
--- a/lib/hwslot/floor.go
+++ b/lib/hwslot/floor.go
@@ -50,3 +50,12 @@
 	}
 	return floor
 }
+
+// leastPart is the part of its floor that a router without a lease may use even if it held less.
+const leastPart = 4
+
+// Decayed returns how many slots of an upstream a router keeps when its lease ends: what it held, but at most its floor and at least a part of it.
+// A router that held little when it was cut off does not take up its whole floor, so the broker need not keep all of it idle for a member that is silent.
+func Decayed(held, floor int) int {
+	return max(min(held, floor), (floor+leastPart-1)/leastPart)
+}
--- a/lib/hwslot/holder.go
+++ b/lib/hwslot/holder.go
@@ -13,6 +13,8 @@
 	Pool     string
 	// Lease is how long granted slots may be used after the last answered report was sent.
 	Lease time.Duration
+	// Fixed gives the router its whole floor for good. It is a baseline for measurements.
+	Fixed bool
 }
 
 type slots struct {
@@ -78,12 +80,17 @@
 	h.refloor()
 }
 
+// refloor sets what the router may use without a lease.
 func (h *Holder) refloor() {
 	if h.leased {
 		return
 	}
 	for u, limit := range h.limits {
-		h.slots[u].allowed = Floor(u, limit, h.settings.Instance, h.members)
+		floor := Floor(u, limit, h.settings.Instance, h.members)
+		if !h.settings.Fixed {
+			floor = Decayed(h.slots[u].allowed, floor)
+		}
+		h.slots[u].allowed = floor
 	}
 }
 
@@ -220,7 +227,7 @@
 	}
 }
 
-// Expire falls back to the floor when the lease has run out, and reports whether it just did.
+// Expire decays to the floor when the lease has run out, and reports whether it just did.
 func (h *Holder) Expire(now time.Time) bool {
 	if !h.leased || now.Sub(h.confirmed) <= h.settings.Lease {
 		return false
--- a/lib/hwslot/target.go
+++ b/lib/hwslot/target.go
@@ -11,7 +11,7 @@
 	b.planned = now
 	b.observe(now)
 	demands, byRouter := b.demand()
-	capacity := float64(b.capacity())
+	capacity := float64(b.capacity() - b.kept(now))
 	aims := b.settings.Policy.Aims(capacity, demands)
 	b.targets = map[string]float64{}
 	left := capacity
@@ -112,7 +112,7 @@
 func (b *Broker) live(now time.Time) []string {
 	var names []string
 	for name, r := range b.routers {
-		if now.Sub(r.reported) <= b.settings.Lease {
+		if b.alive(now, r) {
 			names = append(names, name)
 		}
 	}
