--- a/lib/hwdispatch/charge.go
+++ b/lib/hwdispatch/charge.go
@@ -51,8 +51,10 @@
 	r.progress = now
 	d.charge(r, cost)
 	if r.lane == hwshare.Short && d.lane(cost) == hwshare.Long {
+		a := d.account(r.request.Account)
+		d.leaveLane(now, a, r.lane)
 		r.lane = hwshare.Long
-		d.reserve.change(now, -1)
+		d.enterLane(now, a, r.lane)
 	}
 }
 
--- a/lib/hwdispatch/dispatcher.go
+++ b/lib/hwdispatch/dispatcher.go
@@ -22,7 +22,7 @@
 	Lease    time.Duration
 	// Fixed gives the router its floor of slots for good, as a baseline.
 	Fixed bool
-	// Patience is how long short work goes before long work that arrived earlier.
+	// Patience is how long long work waits behind short work before it may claim its part of the account's slots.
 	Patience time.Duration
 	// LongFactor is how many times the pool's mean cost a request must exceed to count as long; 0 makes one lane of all work, first come first served.
 	LongFactor float64
@@ -46,6 +46,8 @@
 	bound   int
 	service float64
 	running int
+	// long is how many of the running requests are in the long lane.
+	long int
 	// starts counts starts while backlogged; with since it gives the rate that predicts waits.
 	starts float64
 	since  time.Time
@@ -65,6 +67,8 @@
 	accounts  map[string]*account
 	running   map[string]*running
 	zones     map[string]string
+	// startedAt is when work last started at an upstream.
+	startedAt map[string]time.Time
 	reserve   reserve
 	// reported is each account's service at the last report, to bring the broker's counters up to date on arrival.
 	reported map[string]float64
@@ -74,7 +78,7 @@
 func New(settings Settings, pool hwdocument.Pool, accounts []hwdocument.Account, members []string, source rand.Source) *Dispatcher {
 	d := &Dispatcher{
 		settings: settings,
-		queue:    hwshare.NewQueue[Request](settings.Patience),
+		queue:    hwshare.NewQueue[Request](),
 		counters: hwshare.NewCounters(hwshare.CounterSettings{
 			CatchUp: settings.CatchUp,
 			Grace:   0,
@@ -103,9 +107,10 @@
 			AffinityDiscount: affinityDiscount,
 			ZoneCost:         zoneCostSeconds,
 		}, source),
-		accounts: map[string]*account{},
-		running:  map[string]*running{},
-		reported: map[string]float64{},
+		startedAt: map[string]time.Time{},
+		accounts:  map[string]*account{},
+		running:   map[string]*running{},
+		reported:  map[string]float64{},
 	}
 	d.holder.SetMembers(members)
 	d.SetDocument(pool, accounts)
@@ -270,7 +275,8 @@
 func (d *Dispatcher) startOne(now time.Time, candidates []hwroute.Candidate) (Start, bool) {
 	longAllowed := d.longAllowed(now)
 	for _, name := range d.byCounter(now) {
-		entry, found := d.queue.Peek(name, longAllowed)
+		order := d.order(now, name, longAllowed)
+		entry, found := d.queue.Peek(name, order)
 		if !found {
 			continue
 		}
@@ -280,7 +286,7 @@
 			// Only upstreams that this request has tried are free; the next account may use them.
 			continue
 		}
-		d.queue.Pop(name, longAllowed)
+		d.queue.Pop(name, order)
 		d.start(now, entry, upstream, estimate)
 		return Start{
 			ID:       entry.ID,
@@ -316,13 +322,12 @@
 
 func (d *Dispatcher) start(now time.Time, entry hwshare.Entry[Request], upstream string, estimate float64) {
 	d.holder.Take(upstream)
+	d.startedAt[upstream] = now
 	a := d.account(entry.Account)
 	a.running++
 	a.starts++
 	a.halveStarts(now)
-	if entry.Lane == hwshare.Short {
-		d.reserve.change(now, 1)
-	}
+	d.enterLane(now, a, entry.Lane)
 	d.running[entry.ID] = &running{
 		request:  entry.Item,
 		upstream: upstream,
@@ -334,27 +339,6 @@
 	d.settleBacklog(now, entry.Account)
 }
 
-// candidates returns the upstreams with a free slot that can be reached. If none of the pool can, any may be tried, so that callers learn of it at once.
-func (d *Dispatcher) candidates(now time.Time, upstreams []string) []hwroute.Candidate {
-	reachable := slices.ContainsFunc(d.pool.Upstreams, func(u hwdocument.Upstream) bool {
-		return !u.Draining && d.health.Usable(now, u.Address)
-	})
-	candidates := make([]hwroute.Candidate, 0, len(upstreams))
-	for _, u := range upstreams {
-		if reachable && !d.health.Usable(now, u) {
-			continue
-		}
-		candidates = append(candidates, hwroute.Candidate{
-			Upstream:       u,
-			Zone:           d.zones[u],
-			InUse:          d.holder.InUse(u),
-			Free:           d.holder.Free(u),
-			SecondsPerUnit: d.detector.SecondsPerUnit(u),
-		})
-	}
-	return candidates
-}
-
 // byCounter returns the accounts with waiting work, the lowest counter first; what runs counts with its expected cost.
 func (d *Dispatcher) byCounter(now time.Time) []string {
 	names := d.queue.Accounts()
@@ -391,10 +375,9 @@
 		d.estimator.Learn(r.request.Account, r.request.Hint, finish.Cost)
 		d.observeWhole(now, r, finish.Cost)
 	}
-	if r.lane == hwshare.Short {
-		d.reserve.change(now, -1)
-	}
-	d.account(r.request.Account).running--
+	a := d.account(r.request.Account)
+	a.running--
+	d.leaveLane(now, a, r.lane)
 	delete(d.running, id)
 	d.holder.Release(r.upstream)
 	effects := d.dispatch(now)
--- a/lib/hwdispatch/messages.go
+++ b/lib/hwdispatch/messages.go
@@ -72,6 +72,8 @@
 	Account string
 	Waiting int
 	Running int
+	// Long is how many of the running requests are in the long lane.
+	Long    int
 	Service float64
 	Counter float64
 }
--- a/lib/hwdispatch/report.go
+++ b/lib/hwdispatch/report.go
@@ -100,6 +100,7 @@
 			Account: name,
 			Waiting: d.queue.Waiting(name),
 			Running: a.running,
+			Long:    a.long,
 			Service: a.service,
 			Counter: d.counters.Value(name),
 		})
--- a/lib/hwdispatch/reserve.go
+++ b/lib/hwdispatch/reserve.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwshare"
 )
 
 // reserve tells how many free slots are kept from long work, so that short work finds one.
@@ -49,3 +51,36 @@
 	held, inUse := d.holder.Held()
 	return held-inUse > d.reserve.slots(now)
 }
+
+// longPart is the part of an account's running requests, as one in so many, that long work may claim ahead of waiting short work.
+const longPart = 5
+
+// order says which lane of an account goes first. Short work does, but long work that has waited for the patience claims a part of the account's slots, so that it does not starve. Either way the account's counter pays, so the order changes nothing between accounts.
+func (d *Dispatcher) order(now time.Time, name string, longAllowed bool) hwshare.Order {
+	a := d.account(name)
+	head, waits := d.queue.Head(name, hwshare.Long)
+	switch {
+	case waits && now.Sub(head.Arrived) > d.settings.Patience && a.long*longPart <= a.running:
+		return hwshare.LongFirst
+	case !longAllowed:
+		return hwshare.ShortOnly
+	default:
+		return hwshare.ShortFirst
+	}
+}
+
+func (d *Dispatcher) enterLane(now time.Time, a *account, lane hwshare.Lane) {
+	if lane == hwshare.Long {
+		a.long++
+		return
+	}
+	d.reserve.change(now, 1)
+}
+
+func (d *Dispatcher) leaveLane(now time.Time, a *account, lane hwshare.Lane) {
+	if lane == hwshare.Long {
+		a.long--
+		return
+	}
+	d.reserve.change(now, -1)
+}
--- a/lib/hwlimit/speed.go
+++ b/lib/hwlimit/speed.go
@@ -24,7 +24,9 @@
 	gap     float64
 	samples int
 	slow    bool
-	seenAt  time.Time
+	// permille is the last judgement; it stands while there is nothing newer.
+	permille int
+	seenAt   time.Time
 }
 
 // Detector keeps one mean gap per upstream of a pool.
@@ -48,10 +50,12 @@
 func (d *Detector) Observe(now time.Time, upstream string, gap time.Duration) {
 	row, known := d.upstreams[upstream]
 	if !known || now.Sub(row.seenAt) > d.settings.Window {
-		slow := known && row.slow
-		row = &speed{
-			slow: slow,
+		fresh := &speed{}
+		if known {
+			fresh.slow = row.slow
+			fresh.permille = row.permille
 		}
+		row = fresh
 		d.upstreams[upstream] = row
 	}
 	row.seenAt = now
@@ -104,10 +108,12 @@
 	// Fewer than three upstreams have no median that tells a slow one from a fast one.
 	if len(gaps) < 3 || !d.fresh(now, row) {
 		judgement.Slow = row.slow
+		judgement.Permille = row.permille
 		return judgement
 	}
 	median := gaps[len(gaps)/2]
-	judgement.Permille = int(1000 * row.gap / max(median, 1e-9))
+	row.permille = int(1000 * row.gap / max(median, 1e-9))
+	judgement.Permille = row.permille
 	was := row.slow
 	switch {
 	case judgement.Permille >= d.settings.SlowPermille:
--- a/lib/hwroute/choose.go
+++ b/lib/hwroute/choose.go
@@ -15,6 +15,8 @@
 	Free     int
 	// SecondsPerUnit is how long the upstream takes for one cost unit at its present load; 0 is unknown.
 	SecondsPerUnit float64
+	// Probe asks for one request to see how the upstream does; it goes before all others, because two random choices would hardly ever pick it.
+	Probe bool
 }
 
 // Settings weigh the reasons to prefer an upstream.
@@ -55,6 +57,9 @@
 		if candidate.Free <= 0 || slices.Contains(excluded, candidate.Upstream) {
 			continue
 		}
+		if candidate.Probe {
+			return candidate.Upstream, true
+		}
 		if prefix != 0 && c.affinity[prefix] == candidate.Upstream {
 			warm = len(open)
 		}
--- a/lib/hwshare/queue.go
+++ b/lib/hwshare/queue.go
@@ -27,20 +27,29 @@
 	Item     T
 }
 
-// Queue holds waiting items per account and lane. It decides order within an account; which account goes first is the caller's decision.
+// Order says which lane of an account goes first.
+type Order int
+
+const (
+	// ShortFirst takes long work only when no short work waits.
+	ShortFirst Order = iota
+	// ShortOnly takes no long work.
+	ShortOnly
+	// LongFirst takes long work first, so that it does not starve.
+	LongFirst
+)
+
+// Queue holds waiting items per account and lane, first come first served within a lane. Which account and which lane goes first is the caller's decision.
 type Queue[T any] struct {
 	accounts map[string]*[laneCount][]Entry[T]
 	waiting  map[string]int
-	// patience is how long short work goes before long work that arrived earlier.
-	patience time.Duration
 }
 
 // NewQueue returns an empty queue.
-func NewQueue[T any](patience time.Duration) *Queue[T] {
+func NewQueue[T any]() *Queue[T] {
 	return &Queue[T]{
 		accounts: map[string]*[laneCount][]Entry[T]{},
 		waiting:  map[string]int{},
-		patience: patience,
 	}
 }
 
@@ -82,39 +91,31 @@
 	return names
 }
 
-// Peek returns the account's next entry. When long work is not allowed only the short lane is looked at.
-func (q *Queue[T]) Peek(account string, longAllowed bool) (Entry[T], bool) {
-	lane, found := q.next(account, longAllowed)
+// Peek returns the account's next entry.
+func (q *Queue[T]) Peek(account string, order Order) (Entry[T], bool) {
+	lane, found := q.next(account, order)
 	if !found {
 		return Entry[T]{}, false
 	}
 	return q.accounts[account][lane][0], true
 }
 
-// next picks the lane whose head goes first: long work counts as having arrived later by the patience.
-func (q *Queue[T]) next(account string, longAllowed bool) (Lane, bool) {
+func (q *Queue[T]) next(account string, order Order) (Lane, bool) {
 	lanes, known := q.accounts[account]
 	if !known {
 		return Short, false
 	}
-	short, long := lanes[Short], lanes[Long]
-	switch {
-	case len(short) == 0 && (len(long) == 0 || !longAllowed):
-		return Short, false
-	case len(short) == 0:
-		return Long, true
-	case len(long) == 0 || !longAllowed:
-		return Short, true
-	case long[0].Arrived.Add(q.patience).Before(short[0].Arrived):
+	shortWaits := len(lanes[Short]) > 0
+	longWaits := len(lanes[Long]) > 0 && order != ShortOnly
+	if longWaits && (order == LongFirst || !shortWaits) {
 		return Long, true
-	default:
-		return Short, true
 	}
+	return Short, shortWaits
 }
 
 // Pop removes and returns the account's next entry.
-func (q *Queue[T]) Pop(account string, longAllowed bool) (Entry[T], bool) {
-	lane, found := q.next(account, longAllowed)
+func (q *Queue[T]) Pop(account string, order Order) (Entry[T], bool) {
+	lane, found := q.next(account, order)
 	if !found {
 		return Entry[T]{}, false
 	}
@@ -125,6 +126,15 @@
 	return entry, true
 }
 
+// Head returns the first entry of a lane.
+func (q *Queue[T]) Head(account string, lane Lane) (Entry[T], bool) {
+	lanes, known := q.accounts[account]
+	if !known || len(lanes[lane]) == 0 {
+		return Entry[T]{}, false
+	}
+	return lanes[lane][0], true
+}
+
 func (q *Queue[T]) forget(account string) {
 	q.waiting[account]--
 	if q.waiting[account] == 0 {
--- /dev/null
+++ b/lib/hwshare/share_test.go
@@ -0,0 +1,173 @@
+package hwshare_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hickorywick/hickorywick/lib/hwshare"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// TestLedgerLosesNothing merges the totals of several origins in any order, with repetitions and losses of all but the last message.
+func TestLedgerLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type message struct {
+			origin hwshare.Origin
+			total  float64
+		}
+		var messages []message
+		want := 0.0
+		for i := range rapid.IntRange(1, 5).Draw(t, "origins") {
+			total := 0.0
+			for range rapid.IntRange(1, 6).Draw(t, "messages") {
+				total += float64(rapid.IntRange(0, 100).Draw(t, "cost"))
+				messages = append(messages, message{
+					origin: hwshare.Origin{Instance: fmt.Sprint(i % 3), Boot: uint64(i)},
+					total:  total,
+				})
+			}
+			want += total
+		}
+		messages = append(messages, rapid.SliceOf(rapid.SampledFrom(messages)).Draw(t, "repeated")...)
+		shuffled := rapid.Permutation(messages).Draw(t, "order")
+		l := hwshare.NewLedger()
+		grown := 0.0
+		for _, m := range shuffled {
+			grown += l.Merge(m.origin, "account", m.total)
+		}
+		assert.InDelta(t, want, l.Total("account"), 1e-9)
+		assert.InDelta(t, want, grown, 1e-9)
+	})
+}
+
+func TestAnAccountThatBecomesBackloggedIsLifted(t *testing.T) {
+	c := hwshare.NewCounters(hwshare.CounterSettings{CatchUp: 1e9})
+	c.SetShare("busy", 2)
+	c.Charge("busy", 1000)
+	c.Observe(start, "busy", true)
+	c.Observe(start, "idle", true)
+	assert.InDelta(t, 500, c.Value("idle"), 1e-9, "idle time builds no credit")
+}
+
+func TestCatchUpIsCapped(t *testing.T) {
+	c := hwshare.NewCounters(hwshare.CounterSettings{CatchUp: 100})
+	c.Observe(start, "cut-off", true)
+	c.Observe(start, "served", true)
+	c.Charge("served", 5000)
+	c.Observe(start.Add(time.Second), "cut-off", true)
+	assert.InDelta(t, 4900, c.Value("cut-off"), 1e-9, "the cap keeps it from starving the others")
+}
+
+func TestLagSumsToZero(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := hwshare.NewCounters(hwshare.CounterSettings{CatchUp: 1e12})
+		names := []string{"a", "b", "c", "d"}
+		for _, name := range names {
+			c.SetShare(name, float64(rapid.IntRange(1, 10).Draw(t, "share")))
+			c.Observe(start, name, true)
+			c.Charge(name, float64(rapid.IntRange(0, 1000).Draw(t, "cost")))
+		}
+		sum := 0.0
+		for _, name := range names {
+			sum += c.Lag(name, nil)
+		}
+		assert.InDelta(t, 0, sum, 1e-6)
+	})
+}
+
+func TestEstimateLearnsPerMagnitudeOfHint(t *testing.T) {
+	e := hwshare.NewEstimator(100)
+	for range 50 {
+		e.Learn("a", 64, 20)
+		e.Learn("a", 2000, 700)
+	}
+	assert.InDelta(t, 20, e.Estimate("a", 60), 1)
+	assert.InDelta(t, 700, e.Estimate("a", 1900), 10)
+	assert.InDelta(t, 10, e.Estimate("a", 10), 1e-9, "a hint bounds what was learned")
+}
+
+func TestQueueOrder(t *testing.T) {
+	cases := []struct {
+		name  string
+		order hwshare.Order
+		want  []string
+	}{
+		{"short first", hwshare.ShortFirst, []string{"s1", "s2", "l1"}},
+		{"short only", hwshare.ShortOnly, []string{"s1", "s2"}},
+		{"long first", hwshare.LongFirst, []string{"l1", "s1", "s2"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := hwshare.NewQueue[int]()
+			for _, id := range []string{"l1", "s1", "s2"} {
+				lane := hwshare.Short
+				if id[0] == 'l' {
+					lane = hwshare.Long
+				}
+				q.Push(hwshare.Entry[int]{ID: id, Account: "a", Lane: lane, Arrived: start})
+			}
+			var got []string
+			for entry, found := q.Pop("a", c.order); found; entry, found = q.Pop("a", c.order) {
+				got = append(got, entry.ID)
+			}
+			assert.Equal(t, c.want, got)
+		})
+	}
+}
+
+// TestEveryEntryEnds pushes, pops, removes and expires in any order and accounts for each entry.
+func TestEveryEntryEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := hwshare.NewQueue[int]()
+		open := map[string]string{}
+		now := start
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			account := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				id := fmt.Sprint(i)
+				open[id] = account
+				q.Push(hwshare.Entry[int]{
+					ID: id, Account: account, Arrived: now,
+					Lane:     hwshare.Lane(rapid.IntRange(0, 1).Draw(t, "lane")),
+					Deadline: now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "deadline")) * time.Second),
+				})
+			case 2:
+				if entry, found := q.Pop(account, hwshare.ShortFirst); found {
+					delete(open, entry.ID)
+				}
+			case 3:
+				for _, entry := range q.Expire(now) {
+					delete(open, entry.ID)
+				}
+			}
+		}
+		for _, entry := range q.Expire(now.Add(time.Hour)) {
+			delete(open, entry.ID)
+		}
+		assert.Empty(t, open)
+		assert.Empty(t, q.Accounts())
+	})
+}
+
+func ExampleCounters() {
+	now := time.Unix(1_700_000_000, 0)
+	c := hwshare.NewCounters(hwshare.CounterSettings{
+		CatchUp: 1000,
+		Grace:   time.Second,
+	})
+	c.SetShare("franchise", 4)
+	c.SetShare("brewer", 1)
+	c.Observe(now, "franchise", true)
+	c.Observe(now, "brewer", true)
+	c.Charge("franchise", 400)
+	c.Charge("brewer", 400)
+	fmt.Println(c.Value("franchise"), c.Value("brewer"), c.Gap())
+	// Output: 100 400 300
+}
