Lanes by the account's aim; the border between short and long by two groups of costs

Cause, from a trace of short-behind-long (p99 wait of short work 29 to 31 s at 0.99 slots in use): an account ahead of its share by its own long work got no slot at all; its long work took the slots its short work needed; long requests of a magnitude not seen before were expected to be short; twice the mean as border classed 600 tokens as short once the mean had risen. Ruled out: the report interval and upstream choice. Change: an account keeps half of its fair part; grants carry each account's aim and long work stays within what the aim leaves beside the short work; unknown magnitudes follow the learned ratio to the hint; the border lies between the two groups that the costs form.

--- a/cmd/hickorywick-router/internal/hwflags/flags.go
+++ b/cmd/hickorywick-router/internal/hwflags/flags.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/hickorywick/hickorywick/lib/hwdispatch"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwpeer"
 	"github.com/hickorywick/hickorywick/lib/hwrouter"
@@ -36,7 +37,7 @@
 	Document         string        `type:"existingfile" env:"HICKORYWICK_DOCUMENT" help:"Document file for a trial without a store."`
 	Coordination     string        `default:"leased" enum:"leased,static,local" env:"HICKORYWICK_COORDINATION" help:"How routers share slots: leased is the product, static and local are baselines."`
 	Gain             float64       `default:"4" env:"HICKORYWICK_GAIN" help:"How fast a client account's lag is made good, per second."`
-	LongFactor       float64       `default:"2" env:"HICKORYWICK_LONG_FACTOR" help:"How many times the mean cost a request must exceed to count as long work; 0 treats all work alike."`
+	Lanes            string        `default:"split" enum:"split,mean,one" env:"HICKORYWICK_LANES" help:"How short work is told from long work: split is the product, mean and one are for comparison."`
 	Lease            time.Duration `default:"2s" env:"HICKORYWICK_LEASE" help:"How long slots may be used without an answer from their broker."`
 	DrainGrace       time.Duration `default:"5s" env:"HICKORYWICK_DRAIN_GRACE" help:"How long a stopping router still accepts requests, until the balancer has seen that it is not ready."`
 	BodyBytes        int64         `default:"8388608" env:"HICKORYWICK_BODY_BYTES" help:"Largest request body in bytes."`
@@ -63,7 +64,7 @@
 		OperatorKey:  f.OperatorKey,
 		Coordination: hwrouter.Coordination(f.Coordination),
 		Gain:         f.Gain,
-		LongFactor:   f.LongFactor,
+		Lanes:        hwdispatch.LaneRule(f.Lanes),
 		Security:     security,
 		Times:        times,
 		BodyBytes:    f.BodyBytes,
--- a/cmd/hickorywick-standin/internal/hwdemo/demo.go
+++ b/cmd/hickorywick-standin/internal/hwdemo/demo.go
@@ -13,6 +13,7 @@
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwfakeengine"
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwload"
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwworld"
+	"github.com/hickorywick/hickorywick/lib/hwdispatch"
 	"github.com/hickorywick/hickorywick/lib/hwdocument"
 	"github.com/hickorywick/hickorywick/lib/hwrouter"
 	"github.com/hickorywick/hickorywick/lib/hwtask"
@@ -99,7 +100,7 @@
 		Accounts:     specs,
 		Coordination: hwrouter.Leased,
 		Gain:         hwrouter.DefaultGain,
-		LongFactor:   hwrouter.DefaultLongFactor,
+		Lanes:        hwdispatch.SplitLanes,
 		Times:        hwrouter.DefaultTimes(),
 		QueueTimeout: 10 * time.Second,
 	})
--- a/cmd/hickorywick-standin/internal/hwscript/stage.go
+++ b/cmd/hickorywick-standin/internal/hwscript/stage.go
@@ -16,6 +16,7 @@
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwfakeengine"
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwload"
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwworld"
+	"github.com/hickorywick/hickorywick/lib/hwdispatch"
 	"github.com/hickorywick/hickorywick/lib/hwdocument"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwrouter"
@@ -158,7 +159,7 @@
 		Accounts:     accounts,
 		Coordination: hwrouter.Leased,
 		Gain:         hwrouter.DefaultGain,
-		LongFactor:   hwrouter.DefaultLongFactor,
+		Lanes:        hwdispatch.SplitLanes,
 		Times:        times(),
 		ListLag:      time.Duration(a.Number("list-lag", 0)) * time.Millisecond,
 		QueueTimeout: 10 * time.Second,
--- a/cmd/hickorywick-standin/internal/hwworld/world.go
+++ b/cmd/hickorywick-standin/internal/hwworld/world.go
@@ -20,6 +20,7 @@
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwfakelist"
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwfakeservice"
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwfakestore"
+	"github.com/hickorywick/hickorywick/lib/hwdispatch"
 	"github.com/hickorywick/hickorywick/lib/hwdocument"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwhead"
@@ -53,7 +54,7 @@
 	Accounts     []hwdocument.Account
 	Coordination hwrouter.Coordination
 	Gain         float64
-	LongFactor   float64
+	Lanes        hwdispatch.LaneRule
 	Times        hwrouter.Times
 	ListLag      time.Duration
 	StoreDelay   time.Duration
@@ -360,7 +361,7 @@
 		OperatorKey:  OperatorKey,
 		Coordination: w.settings.Coordination,
 		Gain:         w.settings.Gain,
-		LongFactor:   w.settings.LongFactor,
+		Lanes:        w.settings.Lanes,
 		Security: hwpeer.Security{
 			SharedKey: sharedKey,
 		},
--- a/lib/hwdispatch/charge.go
+++ b/lib/hwdispatch/charge.go
@@ -8,6 +8,9 @@
 	"github.com/hickorywick/hickorywick/lib/hwshare"
 )
 
+// raiseFactor is how far beyond its estimate a request runs before others like it are expected to do the same.
+const raiseFactor = 1.5
+
 // pendingHorizon is how far ahead a started request is counted. Counting the whole of a long request at its start would put its account far ahead at once and leave it without slots for seconds, its short work included.
 const pendingHorizon = time.Second
 
@@ -50,6 +53,10 @@
 	}
 	r.progress = now
 	d.charge(r, cost)
+	if cost > raiseFactor*r.estimate {
+		d.estimator.Raise(r.request.Account, r.request.Hint, cost)
+		r.estimate = cost
+	}
 	if r.lane == hwshare.Short && d.lane(cost) == hwshare.Long {
 		a := d.account(r.request.Account)
 		d.leaveLane(now, a, r.lane)
--- a/lib/hwdispatch/dispatcher.go
+++ b/lib/hwdispatch/dispatcher.go
@@ -24,8 +24,8 @@
 	Fixed bool
 	// Patience is how long long work waits behind short work before it may claim its part of the account's slots.
 	Patience time.Duration
-	// LongFactor is how many times the pool's mean cost a request must exceed to count as long; 0 makes one lane of all work, first come first served.
-	LongFactor float64
+	// Lanes is how short work is told from long work.
+	Lanes LaneRule
 	// CatchUp is the cap on what an account may catch up, in cost units per share.
 	CatchUp float64
 	// FirstEstimate is the expected cost before anything was learned, in cost units.
@@ -48,6 +48,11 @@
 	running int
 	// long is how many of the running requests are in the long lane.
 	long int
+	// short measures the account's short work.
+	short shortLoad
+	// aim is the number of slots meant for the account at this router; aimed tells that a broker said so.
+	aim   float64
+	aimed bool
 	// starts counts starts while backlogged; with since it gives the rate that predicts waits.
 	starts float64
 	since  time.Time
@@ -60,6 +65,7 @@
 	queue     *hwshare.Queue[Request]
 	counters  *hwshare.Counters
 	estimator *hwshare.Estimator
+	split     *hwshare.Split
 	holder    *hwslot.Holder
 	detector  *hwlimit.Detector
 	health    *hwlimit.Health
@@ -69,7 +75,6 @@
 	zones     map[string]string
 	// startedAt is when work last started at an upstream.
 	startedAt map[string]time.Time
-	reserve   reserve
 	// reported is each account's service at the last report, to bring the broker's counters up to date on arrival.
 	reported map[string]float64
 }
@@ -84,6 +89,7 @@
 			Grace:   0,
 		}),
 		estimator: hwshare.NewEstimator(settings.FirstEstimate),
+		split:     hwshare.NewSplit(),
 		holder: hwslot.NewHolder(hwslot.HolderSettings{
 			Instance: settings.Instance,
 			Boot:     settings.Boot,
@@ -176,10 +182,12 @@
 	case known && now.Add(expected).After(request.Deadline):
 		return rejected(request.ID, hwerror.KindDeadline, expected)
 	}
+	estimate := d.estimate(request)
+	d.split.Learn(estimate)
 	entry := hwshare.Entry[Request]{
 		ID:       request.ID,
 		Account:  request.Account,
-		Lane:     d.lane(d.estimate(request)),
+		Lane:     d.lane(estimate),
 		Arrived:  now,
 		Deadline: request.Deadline,
 		Item:     request,
@@ -214,8 +222,8 @@
 }
 
 func (d *Dispatcher) lane(cost float64) hwshare.Lane {
-	mean := d.estimator.Mean()
-	if d.settings.LongFactor > 0 && mean > 0 && cost > d.settings.LongFactor*mean {
+	border, found := d.border()
+	if found && cost > border {
 		return hwshare.Long
 	}
 	return hwshare.Short
@@ -268,19 +276,28 @@
 		if !found {
 			return effects
 		}
-		effects.Starts = append(effects.Starts, start)
+		if start.ID != "" {
+			effects.Starts = append(effects.Starts, start)
+		}
 	}
 }
 
+// startOne starts the next request, or moves one that turns out to be long to its lane; the start is then empty. It reports false when nothing can start.
 func (d *Dispatcher) startOne(now time.Time, candidates []hwroute.Candidate) (Start, bool) {
-	longAllowed := d.longAllowed(now)
 	for _, name := range d.byCounter(now) {
-		order := d.order(now, name, longAllowed)
+		order := d.order(now, name)
 		entry, found := d.queue.Peek(name, order)
 		if !found {
 			continue
 		}
 		estimate := d.estimate(entry.Item)
+		if entry.Lane == hwshare.Short && d.lane(estimate) == hwshare.Long {
+			// What was learned since it arrived says that it is long.
+			d.queue.Pop(name, order)
+			entry.Lane = hwshare.Long
+			d.queue.Push(entry)
+			return Start{}, true
+		}
 		upstream, chosen := d.chooser.Choose(candidates, entry.Item.Prefix, estimate, d.excluded(entry.Item))
 		if !chosen {
 			// Only upstreams that this request has tried are free; the next account may use them.
@@ -372,6 +389,7 @@
 		d.health.Reached(r.upstream)
 	}
 	if !finish.Failed {
+		d.split.Learn(finish.Cost)
 		d.estimator.Learn(r.request.Account, r.request.Hint, finish.Cost)
 		d.observeWhole(now, r, finish.Cost)
 	}
--- a/lib/hwdispatch/report.go
+++ b/lib/hwdispatch/report.go
@@ -63,6 +63,9 @@
 	}
 	for _, row := range grant.Counters {
 		since := d.account(row.Account).service - d.reported[row.Account]
+		a := d.account(row.Account)
+		a.aim = row.Aim
+		a.aimed = true
 		d.counters.Set(row.Account, row.Counter+since/d.counters.Share(row.Account))
 	}
 	return d.dispatch(now)
--- a/lib/hwmember/member.go
+++ b/lib/hwmember/member.go
@@ -135,6 +135,10 @@
 		m.listed = listed[name]
 		if !m.listed && m.row.State >= Dead {
 			t.remove(name)
+			t.changes = append(t.changes, Change{
+				Row: m.row,
+				Was: m.row.State,
+			})
 		}
 	}
 }
--- a/lib/hwpeer/convert.go
+++ b/lib/hwpeer/convert.go
@@ -60,6 +60,7 @@
 	return &hwpeerpb.CounterRow{
 		Account: r.Account,
 		Counter: r.Counter,
+		Aim:     uint32(r.Aim),
 	}
 }
 
@@ -67,6 +68,7 @@
 	return hwslot.CounterRow{
 		Account: r.GetAccount(),
 		Counter: r.GetCounter(),
+		Aim:     float64(r.GetAim()),
 	}
 }
 
--- a/lib/hwrouter/pool.go
+++ b/lib/hwrouter/pool.go
@@ -39,7 +39,6 @@
 const (
 	shortPatience = 2 * time.Second
 	shortMemory   = 5 * time.Second
-	longFactor    = 2
 	firstEstimate = 100
 	retryRatio    = 0.1
 	retryReserve  = 10
@@ -67,7 +66,7 @@
 			Lease:         settings.Times.Lease,
 			Fixed:         settings.Coordination != Leased,
 			Patience:      shortPatience,
-			LongFactor:    settings.LongFactor,
+			Lanes:         settings.Lanes,
 			CatchUp:       catchUp(spec),
 			FirstEstimate: firstEstimate,
 		}, spec, document.Accounts, members, source),
--- a/lib/hwrouter/settings.go
+++ b/lib/hwrouter/settings.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/hickorywick/hickorywick/lib/hwdispatch"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwpeer"
 	"github.com/hickorywick/hickorywick/lib/hwstore"
@@ -39,11 +40,11 @@
 	OperatorKey  string
 	Coordination Coordination
 	Gain         float64
-	// LongFactor is how many times the mean cost a request must exceed to count as long work; 0 makes one lane of all.
-	LongFactor float64
-	Security   hwpeer.Security
-	Times      Times
-	BodyBytes  int64
+	// Lanes is how short work is told from long work.
+	Lanes     hwdispatch.LaneRule
+	Security  hwpeer.Security
+	Times     Times
+	BodyBytes int64
 }
 
 // Times are a router's spans of time.
@@ -81,9 +82,6 @@
 // DefaultGain is how fast a lag is made good, per second. Multiplied by the report interval it stays well under one.
 const DefaultGain = 4
 
-// DefaultLongFactor is the size threshold between short and long work, in means.
-const DefaultLongFactor = 2
-
 // DefaultBodyBytes is the largest request body.
 const DefaultBodyBytes = 8 << 20
 
@@ -119,6 +117,9 @@
 	if s.Coordination != Leased && s.Coordination != Static && s.Coordination != Local {
 		faults = append(faults, trace.BadParameter("coordination %q is not leased, static or local", s.Coordination))
 	}
+	if s.Lanes != hwdispatch.SplitLanes && s.Lanes != hwdispatch.MeanLanes && s.Lanes != hwdispatch.OneLane {
+		faults = append(faults, trace.BadParameter("lanes %q is not split, mean or one", s.Lanes))
+	}
 	if s.Security.SharedKey == "" && s.Security.TLS == nil && !isLoopback(s.PeersAddress) {
 		faults = append(faults, trace.BadParameter("peers-address is not loopback, so a shared key or certificates are needed"))
 	}
--- a/lib/hwshare/estimator.go
+++ b/lib/hwshare/estimator.go
@@ -17,7 +17,9 @@
 	initial  float64
 	classes  map[class]float64
 	accounts map[string]float64
-	pool     float64
+	// ratios are the mean cost per unit of hint, for magnitudes that an account has not used yet.
+	ratios map[string]float64
+	pool   float64
 }
 
 // NewEstimator returns an estimator whose first estimate, in cost units, is initial.
@@ -26,6 +28,7 @@
 		initial:  initial,
 		classes:  map[class]float64{},
 		accounts: map[string]float64{},
+		ratios:   map[string]float64{},
 	}
 }
 
@@ -49,6 +52,9 @@
 	if own, known := e.accounts[account]; known {
 		learned = own
 	}
+	if ratio, known := e.ratios[account]; known && hint > 0 {
+		learned = ratio * hint
+	}
 	if own, known := e.classes[classOf(account, hint)]; known {
 		learned = own
 	}
@@ -64,6 +70,17 @@
 	e.accounts[account] = mix(e.accounts[account], cost)
 	key := classOf(account, hint)
 	e.classes[key] = mix(e.classes[key], cost)
+	if hint > 0 {
+		e.ratios[account] = mix(e.ratios[account], cost/hint)
+	}
+}
+
+// Raise takes the cost that a running request has reached. It only matters if it exceeds what was expected of its kind: then others like it will probably cost as much.
+func (e *Estimator) Raise(account string, hint, cost float64) {
+	key := classOf(account, hint)
+	if e.classes[key] < cost {
+		e.classes[key] = mix(e.classes[key], cost)
+	}
 }
 
 // Mean returns the pool's mean cost in cost units, or zero before the first request ended.
--- a/lib/hwslot/allocate.go
+++ b/lib/hwslot/allocate.go
@@ -113,7 +113,7 @@
 			inUse: h.inUse,
 		}
 	}
-	grant.Counters = b.news(r)
+	grant.Counters = b.news(report.Instance, r)
 	return grant
 }
 
--- a/lib/hwslot/broker.go
+++ b/lib/hwslot/broker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -36,7 +37,7 @@
 	upstreams map[string]holding
 	accounts  map[string]AccountRow
 	// counters is what the router was last told, so that a reply holds only what changed.
-	counters map[string]float64
+	counters map[string]CounterRow
 }
 
 // Broker leases the slots of one pool.
@@ -51,6 +52,7 @@
 	ledger   *hwshare.Ledger
 	planned  time.Time
 	targets  map[string]float64
+	aims     map[accountAt]float64
 	pending  map[string]float64
 	// rate is the service of one slot in cost units a second.
 	rate      float64
@@ -155,7 +157,7 @@
 		origin:    origin,
 		upstreams: map[string]holding{},
 		accounts:  map[string]AccountRow{},
-		counters:  map[string]float64{},
+		counters:  map[string]CounterRow{},
 	}
 	b.routers[report.Instance] = r
 	b.members[report.Instance] = true
@@ -174,7 +176,7 @@
 	if report.Full {
 		r.upstreams = map[string]holding{}
 		r.accounts = map[string]AccountRow{}
-		r.counters = map[string]float64{}
+		r.counters = map[string]CounterRow{}
 	}
 	for _, row := range report.Upstreams {
 		r.upstreams[row.Upstream] = holding{
@@ -243,8 +245,8 @@
 	return total
 }
 
-// news returns the counters that changed since the router was last told, for accounts it has work of.
-func (b *Broker) news(r *router) []CounterRow {
+// news returns the counters and aims that changed noticeably since the router was last told, for accounts it has work of.
+func (b *Broker) news(instance string, r *router) []CounterRow {
 	var rows []CounterRow
 	for _, account := range slices.Sorted(maps.Keys(r.accounts)) {
 		row := r.accounts[account]
@@ -252,15 +254,19 @@
 			continue
 		}
 		others := b.pending[account] - row.Pending
-		counter := b.counters.Value(account) + max(0, others)/b.counters.Share(account)
-		if told, known := r.counters[account]; known && told == counter {
+		next := CounterRow{
+			Account: account,
+			Counter: b.counters.Value(account) + max(0, others)/b.counters.Share(account),
+			Aim: math.Round(b.aims[accountAt{
+				instance: instance,
+				account:  account,
+			}]),
+		}
+		if told, known := r.counters[account]; known && told == next {
 			continue
 		}
-		r.counters[account] = counter
-		rows = append(rows, CounterRow{
-			Account: account,
-			Counter: counter,
-		})
+		r.counters[account] = next
+		rows = append(rows, next)
 	}
 	return rows
 }
--- a/lib/hwslot/messages.go
+++ b/lib/hwslot/messages.go
@@ -27,10 +27,11 @@
 	Pending float64
 }
 
-// CounterRow is an account's fleet-wide counter in cost units per share.
+// CounterRow is an account's fleet-wide counter in cost units per share, and in a grant its aim: the slots meant for it at the router.
 type CounterRow struct {
 	Account string
 	Counter float64
+	Aim     float64
 }
 
 // Report is a router's message to the broker. Unless it is full it holds only rows that changed.
--- a/lib/hwslot/plan.go
+++ b/lib/hwslot/plan.go
@@ -24,24 +24,31 @@
 
 // MaxMin shares slots by weighted max-min fairness and corrects each account's part by its lag.
 // Gain, per second, says how fast a lag is made good: a lag of one slot-second moves Gain slots.
+//
+// An account that is ahead keeps at least half of its fair part while the others catch up. Without that an account whose long work took more than its share would be left without any slot for as long as that work runs, its short work included.
 type MaxMin struct {
 	Gain float64
 }
 
+// leastOfPart is the part of its fair part that an account keeps however far it is ahead.
+const leastOfPart = 0.5
+
 // Name returns the policy's name.
 func (p MaxMin) Name() string { return "max-min" }
 
 // Aims returns the corrected max-min parts.
 func (p MaxMin) Aims(capacity float64, demands []Demand) []float64 {
 	aims := fill(capacity, demands)
+	least := make([]float64, len(aims))
 	total := 0.0
 	wanted := 0.0
 	for i, d := range demands {
-		aims[i] = clamp(aims[i]+p.Gain*d.Lag, 0, d.Slots)
+		least[i] = leastOfPart * aims[i]
+		aims[i] = clamp(aims[i]+p.Gain*d.Lag, least[i], d.Slots)
 		total += aims[i]
 		wanted += d.Slots
 	}
-	balance(aims, demands, math.Min(capacity, wanted)-total)
+	balance(aims, least, demands, math.Min(capacity, wanted)-total)
 	return aims
 }
 
@@ -76,14 +83,14 @@
 	}
 }
 
-// balance spreads a difference over the aims by share, within zero and each demand.
+// balance spreads a difference over the aims by share, within what each account keeps at least and its demand.
 // Each round either uses the difference up or meets a bound, so the rounds are few.
-func balance(aims []float64, demands []Demand, difference float64) {
+func balance(aims, least []float64, demands []Demand, difference float64) {
 	const tolerance = 1e-9
 	for round := 0; round < len(aims)+1 && math.Abs(difference) > tolerance; round++ {
 		shares := 0.0
 		for i, d := range demands {
-			if hasRoom(aims[i], d.Slots, difference) {
+			if hasRoom(aims[i], least[i], d.Slots, difference) {
 				shares += d.Share
 			}
 		}
@@ -92,10 +99,10 @@
 		}
 		used := 0.0
 		for i, d := range demands {
-			if !hasRoom(aims[i], d.Slots, difference) {
+			if !hasRoom(aims[i], least[i], d.Slots, difference) {
 				continue
 			}
-			next := clamp(aims[i]+difference*d.Share/shares, 0, d.Slots)
+			next := clamp(aims[i]+difference*d.Share/shares, least[i], d.Slots)
 			used += next - aims[i]
 			aims[i] = next
 		}
@@ -103,11 +110,11 @@
 	}
 }
 
-func hasRoom(aim, demand, difference float64) bool {
+func hasRoom(aim, least, demand, difference float64) bool {
 	if difference > 0 {
 		return aim < demand
 	}
-	return aim > 0
+	return aim > least
 }
 
 func clamp(value, low, high float64) float64 { return math.Max(low, math.Min(high, value)) }
--- a/lib/hwslot/target.go
+++ b/lib/hwslot/target.go
@@ -14,12 +14,20 @@
 	capacity := float64(b.capacity() - b.kept(now))
 	aims := b.settings.Policy.Aims(capacity, demands)
 	b.targets = map[string]float64{}
+	b.aims = map[accountAt]float64{}
 	left := capacity
+	for _, aim := range aims {
+		left -= aim
+	}
 	for i, d := range demands {
 		for _, part := range byRouter[d.Account] {
 			b.targets[part.instance] += aims[i] * part.slots / d.Slots
+			// Any account may use what nobody asks for.
+			b.aims[accountAt{
+				instance: part.instance,
+				account:  d.Account,
+			}] = (aims[i] + max(0, left)) * part.slots / d.Slots
 		}
-		left -= aims[i]
 	}
 	// Slots that nobody asked for are spread evenly, so that a router can start new work without asking.
 	reporting := b.live(now)
@@ -71,6 +79,12 @@
 	return mean + rateLearning*(sample-mean)
 }
 
+// accountAt names an account at a router.
+type accountAt struct {
+	instance string
+	account  string
+}
+
 type routerPart struct {
 	instance string
 	slots    float64
