Chunks for documents, a pacer for reports, benchmarks of slopes

A changed share in a document of 240 accounts and 3,500 upstreams now sends the chunks around it in place of the whole; report intervals stretch so that control traffic stays within 23 kB/s.

--- a/cmd/hickorywick-standin/main.go
+++ b/cmd/hickorywick-standin/main.go
@@ -15,6 +15,7 @@
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwdemo"
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwmeasure"
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwplatform"
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwslope"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwkratos"
 )
@@ -22,6 +23,7 @@
 type arguments struct {
 	Demo     demoCommand     `cmd:"" help:"Run stand-ins and four routers in this process under a mixed load and print who got what."`
 	Measure  measureCommand  `cmd:"" help:"Measure a case under a policy with real routers on loopback sockets and print key=value lines."`
+	Slopes   slopesCommand   `cmd:"" help:"Read the output of Go benchmarks and print the line through each metric."`
 	Platform platformCommand `cmd:"" help:"Serve the store, the instance list, engines and a service on loopback ports until interrupted."`
 }
 
@@ -40,6 +42,11 @@
 	})
 }
 
+type slopesCommand struct{}
+
+// Run fits the lines.
+func (c slopesCommand) Run() error { return hwslope.Run(os.Stdin, os.Stdout) }
+
 type demoCommand struct {
 	Length time.Duration `default:"10s" help:"How long the load lasts." env:"HICKORYWICK_DEMO_LENGTH"`
 }
--- /dev/null
+++ b/lib/hwdocument/document_test.go
@@ -0,0 +1,202 @@
+package hwdocument_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hickorywick/hickorywick/lib/hwdocument"
+)
+
+func trial(t testing.TB) []byte {
+	body, err := os.ReadFile("../../examples/trial.yaml")
+	require.NoError(t, err)
+	return body
+}
+
+func TestTheExampleIsValid(t *testing.T) {
+	document, err := hwdocument.Decode(trial(t))
+	require.NoError(t, err)
+	account, known := document.Authenticate("cellar-key")
+	assert.True(t, known)
+	assert.Equal(t, "cellar-stewards", account.Name)
+	_, known = document.Authenticate("another key")
+	assert.False(t, known)
+}
+
+func TestEveryFaultIsReportedWithLineAndField(t *testing.T) {
+	cases := []struct {
+		name, old, put string
+		want           string
+	}{
+		{"unknown field", "share: 2", "shares: 2", "line 5: document: field shares not found in type hwdocument.Account"},
+		{"share of zero", "share: 2", "share: 0", "line 5: accounts[0].share: must be above 0 and at most 1000000"},
+		{"address without port", "127.0.0.1:17002", "127.0.0.1", "line 20: pools[0].upstreams[0].address: must be an IP number and a port"},
+		{"address twice", "127.0.0.1:17003", "127.0.0.1:17002", "line 22: pools[0].upstreams[1].address: repeats 127.0.0.1:17002"},
+		{"pool of a service", "pool: desk", "pool: models", "services[0].pool: must name a pool of kind service"},
+		{"not a time span", "queue-timeout: 10s", "queue-timeout: soon", `"soon" is not a time span such as 30s`},
+		{"unknown account", "account: cellar-stewards", "account: nobody", "objectives[0].account: names no account of this document"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := hwdocument.Decode([]byte(strings.Replace(string(trial(t)), c.old, c.put, 1)))
+			require.Error(t, err)
+			assert.Contains(t, err.Error(), c.want)
+		})
+	}
+}
+
+func TestAllFaultsAtOnce(t *testing.T) {
+	body := strings.NewReplacer("share: 2", "share: -1", "kind: engine", "kind: motor", "zone: zone-a", "zone: Zone A").Replace(string(trial(t)))
+	_, err := hwdocument.Decode([]byte(body))
+	var faults hwdocument.Faults
+	require.True(t, errors.As(err, &faults))
+	assert.GreaterOrEqual(t, len(faults), 4)
+}
+
+func TestOffer(t *testing.T) {
+	cases := []struct {
+		name    string
+		offered uint64
+		digest  string
+		want    hwdocument.Verdict
+	}{
+		{"newer", 6, "x", hwdocument.Adopt},
+		{"the same", 5, "a", hwdocument.Same},
+		{"the same version with another digest", 5, "b", hwdocument.Conflict},
+		{"older", 4, "x", hwdocument.Older},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, c.want, hwdocument.Offer(5, "a", c.offered, c.digest))
+		})
+	}
+}
+
+func TestHeadVersionsRiseAndHistoryIsBounded(t *testing.T) {
+	var head hwdocument.Head
+	for i := range uint64(60) {
+		head = head.Next(time.Unix(int64(i), 0), fmt.Sprint(i), "operation", "author")
+		assert.Equal(t, i+1, head.Version)
+	}
+	assert.Len(t, head.History, hwdocument.HistoryLength)
+	assert.Equal(t, uint64(59), head.History[0].Version)
+}
+
+func TestRoute(t *testing.T) {
+	service := hwdocument.Service{
+		Routes: []hwdocument.Route{
+			{Path: "/orders", Methods: []string{"POST"}},
+			{Path: "/orders/preview", Methods: []string{"POST"}, Idempotent: true},
+		},
+	}
+	cases := []struct {
+		method, path             string
+		idempotent, path2, known bool
+	}{
+		{"POST", "/orders", false, true, true},
+		{"POST", "/orders/7", false, true, true},
+		{"POST", "/orders/preview", true, true, true},
+		{"GET", "/orders", false, true, false},
+		{"POST", "/ordersx", false, false, false},
+	}
+	for _, c := range cases {
+		route, pathKnown, methodKnown := service.Route(c.method, c.path)
+		assert.Equal(t, []bool{c.idempotent, c.path2, c.known}, []bool{route.Idempotent, pathKnown, methodKnown}, c.method+" "+c.path)
+	}
+}
+
+// TestChunksCarryAnyChange assembles a changed body from the old one's chunks and the missing ones.
+func TestChunksCarryAnyChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lines := rapid.SliceOfN(rapid.StringMatching(`[a-z: -]{0,12}`), 0, 200)
+		before := []byte(strings.Join(lines.Draw(t, "before"), "\n"))
+		after := []byte(strings.Join(lines.Draw(t, "after"), "\n"))
+		atHand, chunks := hwdocument.Chunks(before), hwdocument.Chunks(after)
+		body, whole := hwdocument.Assemble(hwdocument.Digests(chunks), atHand, hwdocument.Missing(chunks, hwdocument.Digests(atHand)))
+		assert.True(t, whole)
+		assert.True(t, bytes.Equal(after, body))
+	})
+}
+
+// large returns a document of the design size.
+func large(accounts, upstreams int) []byte {
+	var b strings.Builder
+	b.WriteString("environment: production\naccounts:\n")
+	for i := range accounts {
+		fmt.Fprintf(&b, "  - name: account-%d\n    share: 1\n    key-sha256: [%064x]\n", i, i)
+	}
+	b.WriteString("pools:\n")
+	const pools = 16
+	for p := range pools {
+		fmt.Fprintf(&b, "  - name: pool-%d\n    kind: engine\n    models: [model-%d]\n    slots: 117\n    upstreams:\n", p, p)
+		for u := range upstreams / pools {
+			n := p*upstreams/pools + u
+			fmt.Fprintf(&b, "      - address: 10.%d.%d.%d:8000\n        zone: zone-%d\n", n>>16, n>>8&255, n&255, n%24)
+		}
+	}
+	return []byte(b.String())
+}
+
+func TestOneChangeSendsLittle(t *testing.T) {
+	before := large(240, 3500)
+	after := bytes.Replace(before, []byte("account-7\n    share: 1"), []byte("account-7\n    share: 2"), 1)
+	missing := 0
+	for _, c := range hwdocument.Missing(hwdocument.Chunks(after), hwdocument.Digests(hwdocument.Chunks(before))) {
+		missing += len(c.Bytes)
+	}
+	assert.Less(t, missing, 10_000, "a change of one share sends the chunks around it")
+}
+
+func BenchmarkSlopeDocumentDecode(b *testing.B) {
+	for _, upstreams := range []int{16, 160, 800, 3504} {
+		body := large(240, upstreams)
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				_, err := hwdocument.Decode(body)
+				require.NoError(b, err)
+			}
+			b.ReportMetric(float64(len(body)), "body-bytes")
+		})
+	}
+}
+
+func BenchmarkSlopeDocumentChange(b *testing.B) {
+	for _, upstreams := range []int{16, 160, 800, 3504} {
+		before := large(240, upstreams)
+		after := bytes.Replace(before, []byte("account-7\n    share: 1"), []byte("account-7\n    share: 2"), 1)
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			sent := 0
+			for range b.N {
+				old := hwdocument.Digests(hwdocument.Chunks(before))
+				chunks := hwdocument.Chunks(after)
+				sent = 8 * (len(old) + len(chunks))
+				for _, c := range hwdocument.Missing(chunks, old) {
+					sent += len(c.Bytes)
+				}
+			}
+			b.ReportMetric(float64(sent), "sent-bytes")
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(trial(f))
+	f.Add([]byte("accounts: [{}]"))
+	f.Add([]byte("a: &a [*a]"))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		document, err := hwdocument.Decode(body)
+		if (document == nil) == (err == nil) {
+			t.Fatal("a document and an error, or neither")
+		}
+	})
+}
--- a/lib/hwonce/partition_test.go
+++ b/lib/hwonce/partition_test.go
@@ -1,6 +1,7 @@
 package hwonce_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -346,3 +347,29 @@
 		o.decisions = nil
 	}
 }
+
+func BenchmarkSlopeOncePage(b *testing.B) {
+	for _, records := range []int{100, 400, 1200} {
+		b.Run(fmt.Sprintf("records=%d", records), func(b *testing.B) {
+			var page hwonce.Page
+			for i := range records {
+				page.Records = append(page.Records, hwonce.Record{
+					Key:     hwonce.HashKey("account", fmt.Sprint(i)),
+					Body:    uint64(i) << 40,
+					Attempt: uint64(i) << 30,
+					At:      start,
+					Outcome: hwonce.Ran,
+					Status:  200,
+				})
+			}
+			var size int
+			b.ReportAllocs()
+			for range b.N {
+				data, err := page.Encode()
+				require.NoError(b, err)
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "page-bytes")
+		})
+	}
+}
--- a/lib/hwrouter/document.go
+++ b/lib/hwrouter/document.go
@@ -202,14 +202,27 @@
 	}
 }
 
-// fetchFrom asks a peer for a document above the one in force.
+// fetchFrom asks a peer for a document above the one in force. Only the chunks that this instance lacks are sent.
 func (r *Router) fetchFrom(ctx context.Context, address string) bool {
 	inForce, _ := r.Version()
+	var atHand []hwdocument.Chunk
+	if current := r.inForce.Load(); current != nil {
+		atHand = hwdocument.Chunks(current.Body)
+	}
 	reply, err := r.peers.Document(ctx, address, &hwpeerpb.DocumentRequest{
 		AboveVersion: inForce,
+		Chunks:       hwdocument.Digests(atHand),
 	})
 	if err != nil || reply.GetVersion() <= inForce {
 		return false
 	}
-	return r.Install(reply.GetVersion(), reply.GetDigest(), reply.GetBody())
+	var sent []hwdocument.Chunk
+	for _, piece := range reply.GetMissing() {
+		sent = append(sent, hwdocument.Chunks(piece)...)
+	}
+	body, whole := hwdocument.Assemble(reply.GetOrder(), atHand, sent)
+	if !whole {
+		return false
+	}
+	return r.Install(reply.GetVersion(), reply.GetDigest(), body)
 }
--- a/lib/hwrouter/peers.go
+++ b/lib/hwrouter/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hickorywick/hickorywick/lib/hwdocument"
 	"github.com/hickorywick/hickorywick/lib/hwpeer"
 	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
 )
@@ -53,9 +54,14 @@
 	if current == nil || current.Number <= in.GetAboveVersion() {
 		return &hwpeerpb.DocumentReply{}, nil
 	}
-	return &hwpeerpb.DocumentReply{
+	chunks := hwdocument.Chunks(current.Body)
+	reply := &hwpeerpb.DocumentReply{
 		Version: current.Number,
 		Digest:  current.Digest,
-		Body:    current.Body,
-	}, nil
+		Order:   hwdocument.Digests(chunks),
+	}
+	for _, c := range hwdocument.Missing(chunks, in.GetChunks()) {
+		reply.Missing = append(reply.Missing, c.Bytes)
+	}
+	return reply, nil
 }
--- a/lib/hwrouter/report.go
+++ b/lib/hwrouter/report.go
@@ -39,10 +39,16 @@
 		case <-heartbeat.C:
 		}
 		broker = r.reportOnce(ctx, p, broker)
-		pause(ctx, r.settings.Times.ReportEvery)
+		pause(ctx, r.reportInterval())
 	}
 }
 
+func (r *Router) reportInterval() time.Duration {
+	r.pacerLock.Lock()
+	defer r.pacerLock.Unlock()
+	return r.pacer.Interval(time.Now(), r.ControlBytes())
+}
+
 // brokerOf returns the instance that brokers a pool in this instance's view.
 func (r *Router) brokerOf(name string) string {
 	return hwslot.First("broker/"+name, r.alive())
--- a/lib/hwrouter/router.go
+++ b/lib/hwrouter/router.go
@@ -68,6 +68,10 @@
 	pools     map[string]*pool
 	brokers   map[string]*hosted
 
+	// pacerLock guards pacer.
+	pacerLock sync.Mutex
+	pacer     *hwslot.Pacer
+
 	owners     owners
 	quarantine *quarantine
 	// background runs short tasks that no caller waits for.
@@ -109,6 +113,11 @@
 			partitions: map[int]*ownedPartition{},
 		},
 		background: newGroup(running),
+		pacer: hwslot.NewPacer(hwslot.PacerSettings{
+			Budget:  controlBudget,
+			Fastest: settings.Times.ReportEvery,
+			Slowest: settings.Times.Heartbeat,
+		}),
 		quarantine: newQuarantine(),
 		table: hwmember.New(hwmember.Settings{
 			ProbeEvery: settings.Times.ProbeEvery,
@@ -130,6 +139,9 @@
 	return r, nil
 }
 
+// controlBudget is the traffic between routers that an instance may cause, in bytes a second.
+const controlBudget = 23_000
+
 // The bounds of membership messages.
 const (
 	indirectProbes = 2
