Broker and membership cost less at the design size

Cause, from the slopes: a broker added up every holding again for each free slot and planned every 25 ms however many rows it had; membership sorted 360 rows every 20 ms. Change: a running tally, proportional raising and lowering, plans no more often than 100 us for each row, suspicions looked at only while there are any.

--- a/lib/hwdispatch/charge.go
+++ b/lib/hwdispatch/charge.go
@@ -14,20 +14,34 @@
 // pendingHorizon is how far ahead a started request is counted. Counting the whole of a long request at its start would put its account far ahead at once and leave it without slots for seconds, its short work included.
 const pendingHorizon = time.Second
 
+// pendingMoment is how long the sums of pending work are good enough.
+const pendingMoment = 20 * time.Millisecond
+
 // pending returns what running requests have used without being charged yet and what they will use within the horizon, in cost units by account.
+// It is computed anew after a moment only; in between, starts add to it.
 func (d *Dispatcher) pending(now time.Time) map[string]float64 {
+	if d.pendingSums != nil && now.Sub(d.pendingAt) < pendingMoment {
+		return d.pendingSums
+	}
 	sums := map[string]float64{}
 	for _, r := range d.running {
 		used := math.Max(r.charged, d.elapsedCost(now, r))
-		ahead := math.Max(0, r.estimate-used)
-		if perUnit := d.detector.SecondsPerUnit(r.upstream); perUnit > 0 {
-			ahead = math.Min(ahead, pendingHorizon.Seconds()/perUnit)
-		}
+		ahead := d.ahead(r.upstream, math.Max(0, r.estimate-used))
 		sums[r.request.Account] += used - r.charged + ahead
 	}
+	d.pendingSums = sums
+	d.pendingAt = now
 	return sums
 }
 
+// ahead returns what a request that starts now will use within the horizon.
+func (d *Dispatcher) ahead(upstream string, estimate float64) float64 {
+	if perUnit := d.detector.SecondsPerUnit(upstream); perUnit > 0 {
+		return math.Min(estimate, pendingHorizon.Seconds()/perUnit)
+	}
+	return estimate
+}
+
 // elapsedCost is what a request without a stream has probably used by now. It keeps a straggler from looking cheap until it ends.
 func (d *Dispatcher) elapsedCost(now time.Time, r *running) float64 {
 	elapsed := now.Sub(r.started)
--- a/lib/hwdispatch/dispatcher.go
+++ b/lib/hwdispatch/dispatcher.go
@@ -75,6 +75,9 @@
 	zones     map[string]string
 	// startedAt is when work last started at an upstream.
 	startedAt map[string]time.Time
+	// pendingSums is the pending work by account as of pendingAt.
+	pendingSums map[string]float64
+	pendingAt   time.Time
 	// reported is each account's service at the last report, to bring the broker's counters up to date on arrival.
 	reported map[string]float64
 }
@@ -353,6 +356,9 @@
 		lane:     entry.Lane,
 		progress: now,
 	}
+	if d.pendingSums != nil {
+		d.pendingSums[entry.Account] += d.ahead(upstream, estimate)
+	}
 	d.settleBacklog(now, entry.Account)
 }
 
--- a/lib/hwdispatch/dispatcher_test.go
+++ b/lib/hwdispatch/dispatcher_test.go
@@ -271,6 +271,7 @@
 		take(d.Enqueue(start, request(fmt.Sprint("warm-", i), fmt.Sprint("account-", i%max(1, count/10)))))
 	}
 	now := start
+	b.ResetTimer()
 	for i := range b.N {
 		now = now.Add(10 * time.Millisecond)
 		take(d.Enqueue(now, request(fmt.Sprint(i), fmt.Sprint("account-", i%max(1, count/10)))))
--- a/lib/hwmember/member.go
+++ b/lib/hwmember/member.go
@@ -89,6 +89,8 @@
 	order    []string
 	next     time.Time
 	changes  []Change
+	// suspects is how many members are suspected.
+	suspects int
 	// selfSpread is how often the own row is still to be passed on.
 	selfSpread int
 }
@@ -151,6 +153,9 @@
 		listed: true,
 	}
 	t.members[row.Instance] = m
+	if row.State == Suspect {
+		t.suspects++
+	}
 	at := 0
 	if len(t.order) > 0 {
 		at = t.random.IntN(len(t.order) + 1)
@@ -164,12 +169,21 @@
 }
 
 func (t *Table) remove(name string) {
+	if t.members[name].row.State == Suspect {
+		t.suspects--
+	}
 	delete(t.members, name)
 	t.order = slices.DeleteFunc(t.order, func(n string) bool { return n == name })
 }
 
 func (t *Table) set(now time.Time, m *member, state State, incarnation uint64) {
 	was := m.row.State
+	if was == Suspect {
+		t.suspects--
+	}
+	if state == Suspect {
+		t.suspects++
+	}
 	m.row.State = state
 	m.row.Incarnation = incarnation
 	m.since = now
@@ -184,12 +198,7 @@
 
 // Tick lets suspicions run out and returns the probes that are due.
 func (t *Table) Tick(now time.Time) []Probe {
-	for _, name := range slices.Sorted(maps.Keys(t.members)) {
-		m := t.members[name]
-		if m.row.State == Suspect && now.Sub(m.since) >= t.settings.SuspectFor {
-			t.set(now, m, Dead, m.row.Incarnation)
-		}
-	}
+	t.endSuspicions(now)
 	if now.Before(t.next) || len(t.order) == 0 {
 		return nil
 	}
@@ -204,6 +213,19 @@
 	return nil
 }
 
+// endSuspicions counts as dead who did not refute in time.
+func (t *Table) endSuspicions(now time.Time) {
+	if t.suspects == 0 {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.members)) {
+		m := t.members[name]
+		if m.row.State == Suspect && now.Sub(m.since) >= t.settings.SuspectFor {
+			t.set(now, m, Dead, m.row.Incarnation)
+		}
+	}
+}
+
 func (t *Table) direct(m *member) Probe {
 	m.pending = 1
 	m.reached = false
--- a/lib/hwpeer/peer_test.go
+++ b/lib/hwpeer/peer_test.go
@@ -136,6 +136,7 @@
 			client := hwpeer.NewClient(hwpeer.Security{SharedKey: "key"}, time.Second, nil, traffic)
 			r := report(accounts, 2)
 			b.ReportAllocs()
+			b.ResetTimer()
 			for range b.N {
 				reply, err := client.Report(context.Background(), address, hwpeer.ReportToWire(r))
 				require.NoError(b, err)
--- a/lib/hwrouter/members.go
+++ b/lib/hwrouter/members.go
@@ -113,11 +113,14 @@
 	r.membersLock.Lock()
 	change(time.Now())
 	changes := r.table.Changes()
-	members := r.table.Members()
-	r.membersLock.Unlock()
 	if len(changes) == 0 {
+		r.membersLock.Unlock()
 		return
 	}
+	view := newView(r.table)
+	r.view.Store(view)
+	r.membersLock.Unlock()
+	members := view.members
 	for _, c := range changes {
 		r.logMember(c)
 	}
@@ -146,21 +149,24 @@
 	r.logger.Emit(event, hwevent.With("member", c.Row.Instance), hwevent.With("state", c.Row.State.String()))
 }
 
-func (r *Router) members() []string {
-	r.membersLock.Lock()
-	defer r.membersLock.Unlock()
-	return r.table.Members()
+// view is the membership as of its last change. It is immutable.
+type view struct {
+	alive   []string
+	members []string
 }
 
-// Alive returns the instances that answer in this instance's view.
-func (r *Router) Alive() []string { return r.alive() }
-
-func (r *Router) alive() []string {
-	r.membersLock.Lock()
-	defer r.membersLock.Unlock()
-	return r.table.Alive()
+func newView(table *hwmember.Table) *view {
+	return &view{
+		alive:   table.Alive(),
+		members: table.Members(),
+	}
 }
 
+func (r *Router) members() []string { return r.view.Load().members }
+
+// Alive returns the instances that answer in this instance's view.
+func (r *Router) Alive() []string { return r.view.Load().alive }
+
 // others returns the other instances that answer.
 func (r *Router) others() []hwmember.Row {
 	r.membersLock.Lock()
@@ -280,6 +286,9 @@
 // announceLeave tells the peers that this instance leaves, so that it is broker and owner of nothing new.
 func (r *Router) announceLeave(ctx context.Context) {
 	r.withTable(func(time.Time) { r.table.Leave() })
+	r.membersLock.Lock()
+	r.view.Store(newView(r.table))
+	r.membersLock.Unlock()
 	telling := newGroup(ctx)
 	for _, row := range r.others() {
 		telling.start(func(ctx context.Context) {
--- a/lib/hwrouter/report.go
+++ b/lib/hwrouter/report.go
@@ -51,7 +51,7 @@
 
 // brokerOf returns the instance that brokers a pool in this instance's view.
 func (r *Router) brokerOf(name string) string {
-	return hwslot.First("broker/"+name, r.alive())
+	return hwslot.First("broker/"+name, r.Alive())
 }
 
 func (r *Router) reportOnce(ctx context.Context, p *pool, before string) string {
--- a/lib/hwrouter/router.go
+++ b/lib/hwrouter/router.go
@@ -62,6 +62,7 @@
 	// membersLock guards table. Nothing is called under it but the table.
 	membersLock sync.Mutex
 	table       *hwmember.Table
+	view        atomic.Pointer[view]
 
 	// poolsLock guards the maps; what they hold has locks of its own.
 	poolsLock sync.RWMutex
@@ -132,6 +133,7 @@
 			Boot:     settings.Boot,
 		}, rand.NewPCG(settings.Boot, randomStream)),
 	}
+	r.view.Store(newView(r.table))
 	r.servers = append(r.servers, r.server(r.listeners.Callers, r.callersHandler()))
 	if r.listeners.Operators != nil {
 		r.servers = append(r.servers, r.server(r.listeners.Operators, r.operatorsHandler()))
--- a/lib/hwslot/allocate.go
+++ b/lib/hwslot/allocate.go
@@ -7,36 +7,45 @@
 	"time"
 )
 
-// reserved returns the slots of an upstream that others may be using: what live routers hold, and what silent members keep without a lease.
-func (b *Broker) reserved(now time.Time, upstream string, except string) int {
-	total := 0
-	members := slices.Sorted(maps.Keys(b.members))
-	for _, name := range members {
-		if name == except {
-			continue
-		}
+// tally adds up what live routers hold and what silent members keep, by upstream. Between two plans grants and reports keep it up to date.
+func (b *Broker) tally(now time.Time) {
+	b.held = make(map[string]int, len(b.names))
+	b.kept = make(map[string]int, len(b.names))
+	var members []string
+	for name := range b.members {
 		r := b.routers[name]
 		if b.alive(now, r) {
-			total += r.upstreams[upstream].held
+			for u, h := range r.upstreams {
+				b.held[u] += h.held
+			}
+			r.tallied = true
 			continue
 		}
-		total += b.silent(r, upstream, name, members)
+		if r != nil {
+			r.tallied = false
+		}
+		if members == nil {
+			members = slices.Sorted(maps.Keys(b.members))
+		}
+		for _, u := range b.names {
+			b.kept[u] += b.silent(r, u, name, members)
+		}
 	}
-	return total
 }
 
-// kept returns the slots that silent members may be using, over all upstreams.
-func (b *Broker) kept(now time.Time) int {
+// put changes what a router holds at an upstream and keeps the tally.
+func (b *Broker) put(r *router, upstream string, next holding) {
+	if r.tallied {
+		b.held[upstream] += next.held - r.upstreams[upstream].held
+	}
+	r.upstreams[upstream] = next
+}
+
+// keptSlots returns the slots that silent members may be using, over all upstreams.
+func (b *Broker) keptSlots() int {
 	total := 0
-	members := slices.Sorted(maps.Keys(b.members))
-	for _, name := range members {
-		r := b.routers[name]
-		if b.alive(now, r) {
-			continue
-		}
-		for _, u := range b.names {
-			total += b.silent(r, u, name, members)
-		}
+	for _, kept := range b.kept {
+		total += kept
 	}
 	return total
 }
@@ -96,7 +105,7 @@
 	case float64(total) >= target+1:
 		lower(allowed, r.upstreams, total-int(math.Ceil(target)))
 	default:
-		b.raise(now, report.Instance, allowed, r, b.wanted(now, report.Instance, total, target))
+		b.raise(allowed, b.wanted(report.Instance, total, target))
 	}
 	for _, u := range slices.Sorted(maps.Keys(allowed)) {
 		h := r.upstreams[u]
@@ -108,17 +117,17 @@
 			Held:     allowed[u],
 		})
 		// Until the next report says otherwise the router may still be using what it reported.
-		r.upstreams[u] = holding{
+		b.put(r, u, holding{
 			held:  max(h.held, allowed[u]),
 			inUse: h.inUse,
-		}
+		})
 	}
 	grant.Counters = b.news(report.Instance, r)
 	return grant
 }
 
 // wanted returns how many more slots a router should get: up to its target, and beyond it what nobody else is waiting for.
-func (b *Broker) wanted(now time.Time, instance string, total int, target float64) int {
+func (b *Broker) wanted(instance string, total int, target float64) int {
 	wanted := max(0, int(math.Ceil(target))-total)
 	waiting := 0
 	for _, row := range b.routers[instance].accounts {
@@ -127,77 +136,81 @@
 	if waiting <= wanted {
 		return wanted
 	}
-	free := b.free(now)
-	for name, r := range b.routers {
-		if name == instance {
-			continue
+	free := b.free()
+	for name, claim := range b.claims {
+		if name != instance {
+			free -= claim
 		}
-		held := 0
-		for _, h := range r.upstreams {
-			held += h.held
-		}
-		free -= max(0, int(math.Ceil(b.targets[name]))-held)
 	}
 	return max(wanted, min(waiting, free))
 }
 
-func (b *Broker) free(now time.Time) int {
+func (b *Broker) free() int {
 	total := 0
 	for _, u := range b.names {
-		total += max(0, b.Limit(u)-b.reserved(now, u, ""))
+		total += max(0, b.Limit(u)-b.held[u]-b.kept[u])
 	}
 	return total
 }
 
-// lower takes idle slots first, then slots in use at the upstream where the router has most; those come free as requests end.
+// lower takes idle slots first, then slots in use; those come free as requests end.
 func lower(allowed map[string]int, holdings map[string]holding, count int) {
 	names := slices.Sorted(maps.Keys(allowed))
-	for ; count > 0; count-- {
-		best := ""
-		for _, u := range names {
-			if allowed[u] == 0 {
-				continue
-			}
-			if best == "" || moreSpare(allowed, holdings, u, best) {
-				best = u
-			}
-		}
-		if best == "" {
-			return
-		}
-		allowed[best]--
+	idle := make([]int, len(names))
+	for i, u := range names {
+		idle[i] = max(0, allowed[u]-holdings[u].inUse)
 	}
-}
-
-func moreSpare(allowed map[string]int, holdings map[string]holding, u, best string) bool {
-	idle := allowed[u] - holdings[u].inUse
-	idleBest := allowed[best] - holdings[best].inUse
-	if max(idle, 0) != max(idleBest, 0) {
-		return idle > idleBest
+	for i, taken := range spread(count, idle) {
+		allowed[names[i]] -= taken
+		count -= taken
+	}
+	busy := make([]int, len(names))
+	for i, u := range names {
+		busy[i] = allowed[u]
+	}
+	for i, taken := range spread(count, busy) {
+		allowed[names[i]] -= taken
 	}
-	return allowed[u] > allowed[best]
 }
 
-// raise gives free slots, each from the upstream with the largest part of its limit free.
-func (b *Broker) raise(now time.Time, instance string, allowed map[string]int, r *router, count int) {
+// raise gives free slots, from each upstream in proportion to what it has free.
+func (b *Broker) raise(allowed map[string]int, count int) {
 	if count <= 0 {
 		return
 	}
-	free := map[string]int{}
-	for _, u := range b.names {
-		free[u] = b.Limit(u) - b.reserved(now, u, instance) - max(r.upstreams[u].held, allowed[u])
+	free := make([]int, len(b.names))
+	for i, u := range b.names {
+		free[i] = max(0, b.Limit(u)-b.held[u]-b.kept[u])
 	}
-	for ; count > 0; count-- {
-		best := ""
-		for _, u := range b.names {
-			if free[u] > 0 && (best == "" || free[u]*b.Limit(best) > free[best]*b.Limit(u)) {
-				best = u
-			}
-		}
-		if best == "" {
-			return
+	for i, given := range spread(count, free) {
+		allowed[b.names[i]] += given
+	}
+}
+
+// spread divides a count over bounds in proportion to them; no part exceeds its bound. What rounding leaves goes to those with the most room.
+func spread(count int, bounds []int) []int {
+	parts := make([]int, len(bounds))
+	total := 0
+	for _, bound := range bounds {
+		total += bound
+	}
+	count = min(count, total)
+	if count <= 0 {
+		return parts
+	}
+	left := count
+	order := make([]int, len(bounds))
+	for i, bound := range bounds {
+		parts[i] = count * bound / total
+		left -= parts[i]
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(i, j int) int { return (bounds[j] - parts[j]) - (bounds[i] - parts[i]) })
+	for n := 0; left > 0; n = (n + 1) % len(order) {
+		if i := order[n]; parts[i] < bounds[i] {
+			parts[i]++
+			left--
 		}
-		free[best]--
-		allowed[best]++
 	}
+	return parts
 }
--- a/lib/hwslot/broker.go
+++ b/lib/hwslot/broker.go
@@ -38,6 +38,8 @@
 	accounts  map[string]AccountRow
 	// counters is what the router was last told, so that a reply holds only what changed.
 	counters map[string]CounterRow
+	// tallied tells that what it holds is in the broker's tally.
+	tallied bool
 }
 
 // Broker leases the slots of one pool.
@@ -59,6 +61,13 @@
 	rateTotal float64
 	rateAt    time.Time
 	slowdown  map[string]map[string]int
+	// held and kept are the tally: what live routers hold and silent members keep, by upstream.
+	held map[string]int
+	kept map[string]int
+	// claims are the slots that routers lack to their targets, as of the last plan.
+	claims map[string]int
+	// limitsNow are the limits after slowness, as of the last plan.
+	limitsNow map[string]int
 	// unheard is the most that a member holds at an upstream that has not reported to this broker; nil while it listens.
 	unheard map[string]int
 }
@@ -89,6 +98,7 @@
 // SetLimits sets the slots of each upstream that takes new work.
 func (b *Broker) SetLimits(limits map[string]int) {
 	b.limits = maps.Clone(limits)
+	b.limitsNow = maps.Clone(limits)
 	b.names = slices.Sorted(maps.Keys(limits))
 	b.planned = time.Time{}
 }
@@ -144,12 +154,25 @@
 		}
 	}
 	b.take(now, r, report)
-	if now.Sub(b.planned) >= b.settings.Replan {
+	// A router that is not in the tally came back from silence or is new; the next grant needs it counted.
+	if now.Sub(b.planned) >= b.replan() || !r.tallied {
 		b.plan(now)
 	}
 	return b.grant(now, report, r)
 }
 
+// replanPerRow is how much longer the aims stand for each row of an account at a router. It bounds the processor time of planning, which grows with the rows.
+const replanPerRow = 100 * time.Microsecond
+
+// replan returns the shortest time between two computations of the aims.
+func (b *Broker) replan() time.Duration {
+	rows := 0
+	for _, r := range b.routers {
+		rows += len(r.accounts)
+	}
+	return max(b.settings.Replan, time.Duration(rows)*replanPerRow)
+}
+
 // admit opens the row of a router that this broker has not heard before.
 // The service it rendered so far was charged by the broker before, so it becomes the baseline; the router's view of the counters carries it over.
 func (b *Broker) admit(report Report, origin hwshare.Origin) *router {
@@ -174,15 +197,18 @@
 	r.sequence = report.Sequence
 	r.reported = now
 	if report.Full {
+		for u := range r.upstreams {
+			b.put(r, u, holding{})
+		}
 		r.upstreams = map[string]holding{}
 		r.accounts = map[string]AccountRow{}
 		r.counters = map[string]CounterRow{}
 	}
 	for _, row := range report.Upstreams {
-		r.upstreams[row.Upstream] = holding{
+		b.put(r, row.Upstream, holding{
 			held:  row.Held,
 			inUse: row.InUse,
-		}
+		})
 		b.noteSlowness(report.Instance, row)
 	}
 	for _, row := range report.Accounts {
@@ -227,8 +253,11 @@
 // slowThreshold is the slowness from which an upstream's limit is lowered, in thousandths.
 const slowThreshold = 2000
 
-// Limit returns an upstream's slots at present: a slowed upstream keeps slots in proportion to its speed, and at least one, which probes it.
-func (b *Broker) Limit(upstream string) int {
+// Limit returns an upstream's slots as of the last plan.
+func (b *Broker) Limit(upstream string) int { return b.limitsNow[upstream] }
+
+// limit returns an upstream's slots at present: a slowed upstream keeps slots in proportion to its speed, and at least one, which probes it.
+func (b *Broker) limit(upstream string) int {
 	limit := b.limits[upstream]
 	slowness := b.Slowness(upstream)
 	if slowness < slowThreshold || limit == 0 {
--- a/lib/hwslot/holder.go
+++ b/lib/hwslot/holder.go
@@ -168,7 +168,8 @@
 			InUse:        h.slots[u].inUse,
 			SlowPermille: h.slowness[u],
 		}
-		if h.full || h.known[u] != row {
+		empty := row.Held == 0 && row.InUse == 0 && row.SlowPermille == 0
+		if (h.full && !empty) || (!h.full && h.known[u] != row) {
 			report.Upstreams = append(report.Upstreams, row)
 		}
 	}
@@ -219,6 +220,13 @@
 		clear(h.known)
 		clear(h.accounts)
 	}
+	for u := range h.slots {
+		if _, known := h.known[u]; !known {
+			h.known[u] = UpstreamRow{
+				Upstream: u,
+			}
+		}
+	}
 	for _, row := range report.Upstreams {
 		h.known[row.Upstream] = row
 	}
--- a/lib/hwslot/slope_test.go
+++ b/lib/hwslot/slope_test.go
@@ -48,9 +48,13 @@
 				})
 			}
 		}
-		broker.Report(start, report)
+		grant := broker.Report(start, report)
 		report.Full = false
 		report.Accounts = report.Accounts[:min(4, len(report.Accounts))]
+		for _, row := range grant.Upstreams[:min(2, len(grant.Upstreams))] {
+			row.InUse = row.Held
+			report.Upstreams = append(report.Upstreams, row)
+		}
 		reports = append(reports, report)
 	}
 	return broker, reports
@@ -63,13 +67,18 @@
 	return 0
 }
 
+// sequence numbers the reports of all benchmarks, because the same broker serves several rounds of one.
+var sequence uint64 = 1
+
 func run(b *testing.B, broker *hwslot.Broker, reports []hwslot.Report, interval time.Duration) {
 	b.ReportAllocs()
 	now := start
 	step := interval / time.Duration(len(reports))
+	b.ResetTimer()
 	for i := range b.N {
 		report := reports[i%len(reports)]
-		report.Sequence = uint64(2 + i)
+		sequence++
+		report.Sequence = sequence
 		now = now.Add(step)
 		broker.Report(now, report)
 	}
@@ -77,8 +86,8 @@
 
 func BenchmarkSlopeBrokerByMembers(b *testing.B) {
 	for _, members := range []int{5, 15, 51, 180, 360} {
+		broker, reports := filled(members, 240, 32)
 		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
-			broker, reports := filled(members, 240, 32)
 			run(b, broker, reports, 500*time.Millisecond)
 		})
 	}
@@ -86,8 +95,8 @@
 
 func BenchmarkSlopeBrokerByAccounts(b *testing.B) {
 	for _, accounts := range []int{16, 60, 120, 240} {
+		broker, reports := filled(51, accounts, 32)
 		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
-			broker, reports := filled(51, accounts, 32)
 			run(b, broker, reports, 500*time.Millisecond)
 		})
 	}
@@ -95,8 +104,8 @@
 
 func BenchmarkSlopeBrokerByUpstreams(b *testing.B) {
 	for _, upstreams := range []int{9, 32, 64, 219} {
+		broker, reports := filled(51, 240, upstreams)
 		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
-			broker, reports := filled(51, 240, upstreams)
 			run(b, broker, reports, 500*time.Millisecond)
 		})
 	}
@@ -104,10 +113,10 @@
 
 func BenchmarkSlopeBrokerMemory(b *testing.B) {
 	for _, members := range []int{5, 51, 180, 360} {
+		before := heap()
+		broker, _ := filled(members, 240, 32)
+		after := heap()
 		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
-			before := heap()
-			broker, _ := filled(members, 240, 32)
-			after := heap()
 			for range b.N {
 				_ = broker.Gap()
 			}
--- a/lib/hwslot/target.go
+++ b/lib/hwslot/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -9,9 +10,14 @@
 // plan computes every router's target from the demand of all accounts.
 func (b *Broker) plan(now time.Time) {
 	b.planned = now
+	b.limitsNow = make(map[string]int, len(b.names))
+	for _, u := range b.names {
+		b.limitsNow[u] = b.limit(u)
+	}
+	b.tally(now)
 	b.observe(now)
 	demands, byRouter := b.demand()
-	capacity := float64(b.capacity() - b.kept(now))
+	capacity := float64(b.capacity() - b.keptSlots())
 	aims := b.settings.Policy.Aims(capacity, demands)
 	b.targets = map[string]float64{}
 	b.aims = map[accountAt]float64{}
@@ -34,6 +40,14 @@
 	for _, name := range reporting {
 		b.targets[name] += left / float64(len(reporting))
 	}
+	b.claims = map[string]int{}
+	for _, name := range reporting {
+		held := 0
+		for _, h := range b.routers[name].upstreams {
+			held += h.held
+		}
+		b.claims[name] = max(0, int(math.Ceil(b.targets[name]))-held)
+	}
 }
 
 // observe refreshes who is backlogged, what is running uncharged, and how much service a slot renders.
