--- a/lib/hwdocument/decode.go
+++ b/lib/hwdocument/decode.go
@@ -77,17 +77,18 @@
 			faults = append(faults, fault(1, "document", "holds more than one YAML document"))
 		}
 	}
+	document.setDefaults()
+	if len(faults) == 0 && len(check(document, nil)) == 0 {
+		return document, nil
+	}
+	// Only a bad document is read a second time, for the lines of its faults.
 	var root yaml.Node
 	if yaml.Unmarshal(body, &root) != nil {
 		return nil, faults
 	}
-	document.setDefaults()
 	faults = append(faults, check(document, lines(&root))...)
-	if len(faults) > 0 {
-		sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
-		return nil, faults
-	}
-	return document, nil
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
+	return nil, faults
 }
 
 func (d *Document) setDefaults() {
--- a/lib/hwmember/member.go
+++ b/lib/hwmember/member.go
@@ -202,7 +202,7 @@
 	if now.Before(t.next) || len(t.order) == 0 {
 		return nil
 	}
-	t.next = now.Add(t.settings.ProbeEvery)
+	t.next = now.Add(t.probeEvery())
 	for range t.order {
 		name := t.order[0]
 		t.order = append(t.order[1:], name)
@@ -213,6 +213,13 @@
 	return nil
 }
 
+// probedFleet is the fleet size up to which the probe interval stands. In a larger fleet each instance probes less often, since as many more probe each other: the time until somebody notices a loss stays the same and the traffic of an instance is bounded.
+const probedFleet = 60
+
+func (t *Table) probeEvery() time.Duration {
+	return t.settings.ProbeEvery * time.Duration(max(1, len(t.members)/probedFleet))
+}
+
 // endSuspicions counts as dead who did not refute in time.
 func (t *Table) endSuspicions(now time.Time) {
 	if t.suspects == 0 {
