Routers above their target also make room when more is held than there is

Cause: the change before lowered a router only by what others lack; a cut-off router that brokered for itself heard nobody and kept everything: 217 of 144 slots in use in the partition case.

--- a/cmd/hickorywick-standin/internal/hwscript/commands.go
+++ b/cmd/hickorywick-standin/internal/hwscript/commands.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,7 +16,6 @@
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwfakestore"
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwload"
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwworld"
-	"github.com/hickorywick/hickorywick/lib/hwrouter"
 	"github.com/hickorywick/hickorywick/lib/hwtask"
 )
 
@@ -342,141 +340,6 @@
 	return expect("operators that won", "1", strconv.Itoa(won))
 }
 
-// untilCommand waits for a state: version N [ROUTER], running N, executions NAME N, members ROUTER N, ready ROUTER, not-ready ROUTER, logged NAME, leased ROUTER yes|no, served ENGINE N, idle ENGINE.
-func untilCommand(s *Stage, a Arguments) error {
-	return Wait(strings.Join(a.Words, " "), func() bool {
-		got, err := s.state(a)
-		return err == nil && got
-	})
-}
-
-func (s *Stage) state(a Arguments) (bool, error) {
-	switch a.Word(0) {
-	case "version":
-		return s.everyRouter(a.Word(2), func(r *hwworld.Router) bool {
-			number, _ := r.Router.Version()
-			return strconv.FormatUint(number, 10) == a.Word(1)
-		}), nil
-	case "members":
-		return s.everyRouter(a.Word(1), func(r *hwworld.Router) bool {
-			return strconv.Itoa(len(r.Router.Alive())) == a.Word(2)
-		}), nil
-	case "leased":
-		return s.everyRouter(a.Word(1), func(r *hwworld.Router) bool {
-			for _, p := range r.Router.Status(time.Now()).Pools {
-				if p.Pool == hwworld.ModelPool {
-					return yes(p.Leased) == a.Word(2)
-				}
-			}
-			return false
-		}), nil
-	case "running":
-		total := 0
-		for _, service := range s.World.Services {
-			total += service.Running()
-		}
-		return strconv.Itoa(total) == a.Word(1), nil
-	case "streaming":
-		total := int64(0)
-		for _, engine := range s.World.Engines {
-			running, _ := engine.Running()
-			total += running
-		}
-		return strconv.FormatInt(total, 10) == a.Word(1), nil
-	case "idle":
-		number, err := strconv.Atoi(a.Word(1))
-		running, _ := s.World.Engines[number-1].Running()
-		return running == 0, err
-	case "read-held":
-		number, err := strconv.Atoi(a.Word(1))
-		return err == nil && s.World.Engines[number-1].ReadHeld(), err
-	case "can-order":
-		// The order is sent until the record can be written again.
-		if err := callCommand(s, Parse([]string{"until", a.Word(1), "POST", "/services/desk/orders", "key=" + a.Word(2), "body=order"})); err != nil {
-			return false, err
-		}
-		reply, err := s.Reply("until")
-		return reply.Status == http.StatusOK, err
-	case "at-most":
-		limit, err := strconv.Atoi(a.Word(2))
-		running := 0
-		for _, service := range s.World.Services {
-			running += service.Running()
-		}
-		return running == 0 && s.executions(a.Word(1)) <= limit, err
-	case "engines-down-at-most":
-		limit, err := strconv.Atoi(a.Word(1))
-		down := 0
-		for _, engine := range s.World.Engines {
-			if !engine.Server.Up() {
-				down++
-			}
-		}
-		return down <= limit, err
-	case "served":
-		number, err := strconv.Atoi(a.Word(1))
-		if err != nil {
-			return false, trace.Wrap(err)
-		}
-		least, err := strconv.Atoi(a.Word(2))
-		return s.World.Engines[number-1].Served() >= int64(least), err
-	case "no-new-work":
-		return s.noNewWork(a.Word(1))
-	case "version-somewhere":
-		for _, r := range s.World.All() {
-			if number, _ := r.Router.Version(); strconv.FormatUint(number, 10) == a.Word(1) && r.Router.Ready() {
-				return true, nil
-			}
-		}
-		return false, nil
-	case "executions":
-		return strconv.Itoa(s.executions(a.Word(1))) == a.Word(2), nil
-	case "ready":
-		return s.everyRouter(a.Word(1), func(r *hwworld.Router) bool { return r.Router.Ready() }), nil
-	case "logged":
-		return strings.Contains(s.Log(), `"name":"`+a.Word(1)+`"`), nil
-	default:
-		return false, trace.BadParameter("until does not know %s", a.Word(0))
-	}
-}
-
-// quietRequests is how many requests the other engines must serve before one without new work counts as quiet.
-const quietRequests = 20
-
-// noNewWork waits until the other engines have served many requests while one served none.
-func (s *Stage) noNewWork(word string) (bool, error) {
-	number, err := strconv.Atoi(word)
-	if err != nil {
-		return false, trace.Wrap(err)
-	}
-	before := s.World.Engines[number-1].Served()
-	others := func() int64 {
-		total := int64(0)
-		for i, engine := range s.World.Engines {
-			if i != number-1 {
-				total += engine.Served()
-			}
-		}
-		return total
-	}
-	begun := others()
-	err = Wait("other engines serve", func() bool { return others() >= begun+quietRequests })
-	return s.World.Engines[number-1].Served() == before, err
-}
-
-// everyRouter asks the named router, or all that are running.
-func (s *Stage) everyRouter(name string, holds func(*hwworld.Router) bool) bool {
-	for _, r := range s.World.All() {
-		if name != r.Name && !r.Router.Ready() {
-			continue
-		}
-		if (name == "" || name == "all" || name == r.Name) && !holds(r) {
-			return false
-		}
-	}
-	return true
-}
-
 // loadCommand starts or ends a mixed load on all routers: start, or end with not-cut=yes to expect that every request ended as its caller was told.
 func loadCommand(s *Stage, a Arguments) error {
 	if a.Word(0) == "start" {
@@ -572,47 +435,3 @@
 	}
 	return expect("logged "+name, want, yes(strings.Contains(s.Log(), `"name":"`+name+`"`)))
 }
-
-// orderCommand places an order through a router: begin NAME ROUTER engine=N version=V, or end NAME outcome=O.
-func orderCommand(s *Stage, a Arguments) error {
-	if a.Word(0) == "end" {
-		result, known := s.orders[a.Word(1)]
-		if !known {
-			return trace.NotFound("there is no order %s", a.Word(1))
-		}
-		select {
-		case ended := <-result:
-			return expect("order "+a.Word(1), a.Settings["outcome"], string(ended.Outcome))
-		case <-time.After(patience):
-			return trace.LimitExceeded("order %s did not end", a.Word(1))
-		}
-	}
-	router, err := s.World.Find(a.Word(2))
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	address := s.World.Engines[a.Number("engine", 1)-1].Server.Address()
-	ended := make(chan hwrouter.OrderResult, 1)
-	s.orders[a.Word(1)] = ended
-	s.begun = append(s.begun, hwtask.Start(context.Background(), func(ctx context.Context) error {
-		ended <- router.Router.PlaceOrder(ctx, hwrouter.Order{
-			Upstream: address,
-			Model:    hwworld.Model,
-			Version:  a.Settings["version"],
-		})
-		return nil
-	}))
-	return nil
-}
-
-// orderedCommand compares the version that an engine has: ENGINE VERSION.
-func orderedCommand(s *Stage, a Arguments) error {
-	number, err := strconv.Atoi(a.Word(0))
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	version, fences := s.World.Engines[number-1].Ordered()
-	return trace.NewAggregate(
-		expect("version ordered at engine "+a.Word(0), a.Word(1), version),
-		expect("fencing numbers rise at engine "+a.Word(0), "yes", yes(slices.IsSorted(fences))))
-}
--- a/cmd/hickorywick-standin/internal/hwscript/stage.go
+++ b/cmd/hickorywick-standin/internal/hwscript/stage.go
@@ -284,8 +284,8 @@
 		return Reply{}, trace.NotFound("there is no call %s", name)
 	}
 	select {
-	case <-c.done:
-		return c.reply, nil
+	case err := <-c.done:
+		return c.reply, trace.Wrap(err)
 	case <-time.After(patience):
 		return Reply{}, trace.LimitExceeded("call %s did not end", name)
 	}
--- /dev/null
+++ b/cmd/hickorywick-standin/internal/hwscript/states.go
@@ -0,0 +1,147 @@
+package hwscript
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwworld"
+)
+
+// untilCommand waits for a state: version N [ROUTER], running N, executions NAME N, members ROUTER N, ready ROUTER, not-ready ROUTER, logged NAME, leased ROUTER yes|no, served ENGINE N, idle ENGINE.
+func untilCommand(s *Stage, a Arguments) error {
+	return Wait(strings.Join(a.Words, " "), func() bool {
+		got, err := s.state(a)
+		return err == nil && got
+	})
+}
+
+func (s *Stage) state(a Arguments) (bool, error) {
+	switch a.Word(0) {
+	case "version":
+		return s.everyRouter(a.Word(2), func(r *hwworld.Router) bool {
+			number, _ := r.Router.Version()
+			return strconv.FormatUint(number, 10) == a.Word(1)
+		}), nil
+	case "members":
+		return s.everyRouter(a.Word(1), func(r *hwworld.Router) bool {
+			return strconv.Itoa(len(r.Router.Alive())) == a.Word(2)
+		}), nil
+	case "leased":
+		return s.everyRouter(a.Word(1), func(r *hwworld.Router) bool {
+			for _, p := range r.Router.Status(time.Now()).Pools {
+				if p.Pool == hwworld.ModelPool {
+					return yes(p.Leased) == a.Word(2)
+				}
+			}
+			return false
+		}), nil
+	case "running":
+		total := 0
+		for _, service := range s.World.Services {
+			total += service.Running()
+		}
+		return strconv.Itoa(total) == a.Word(1), nil
+	case "streaming":
+		total := int64(0)
+		for _, engine := range s.World.Engines {
+			running, _ := engine.Running()
+			total += running
+		}
+		return strconv.FormatInt(total, 10) == a.Word(1), nil
+	case "idle":
+		number, err := strconv.Atoi(a.Word(1))
+		running, _ := s.World.Engines[number-1].Running()
+		return running == 0, err
+	case "read-held":
+		number, err := strconv.Atoi(a.Word(1))
+		return err == nil && s.World.Engines[number-1].ReadHeld(), err
+	case "can-order":
+		// The order is sent until the record can be written again.
+		if err := callCommand(s, Parse([]string{"until", a.Word(1), "POST", "/services/desk/orders", "key=" + a.Word(2), "body=order"})); err != nil {
+			return false, err
+		}
+		reply, err := s.Reply("until")
+		return reply.Status == http.StatusOK, err
+	case "at-most":
+		limit, err := strconv.Atoi(a.Word(2))
+		running := 0
+		for _, service := range s.World.Services {
+			running += service.Running()
+		}
+		return running == 0 && s.executions(a.Word(1)) <= limit, err
+	case "engines-down-at-most":
+		limit, err := strconv.Atoi(a.Word(1))
+		down := 0
+		for _, engine := range s.World.Engines {
+			if !engine.Server.Up() {
+				down++
+			}
+		}
+		return down <= limit, err
+	case "served":
+		number, err := strconv.Atoi(a.Word(1))
+		if err != nil {
+			return false, trace.Wrap(err)
+		}
+		least, err := strconv.Atoi(a.Word(2))
+		return s.World.Engines[number-1].Served() >= int64(least), err
+	case "no-new-work":
+		return s.noNewWork(a.Word(1))
+	case "version-somewhere":
+		for _, r := range s.World.All() {
+			if number, _ := r.Router.Version(); strconv.FormatUint(number, 10) == a.Word(1) && r.Router.Ready() {
+				return true, nil
+			}
+		}
+		return false, nil
+	case "executions":
+		return strconv.Itoa(s.executions(a.Word(1))) == a.Word(2), nil
+	case "ready":
+		return s.everyRouter(a.Word(1), func(r *hwworld.Router) bool { return r.Router.Ready() }), nil
+	case "logged":
+		return strings.Contains(s.Log(), `"name":"`+a.Word(1)+`"`), nil
+	default:
+		return false, trace.BadParameter("until does not know %s", a.Word(0))
+	}
+}
+
+// quietRequests is how many requests the other engines must serve before one without new work counts as quiet.
+const quietRequests = 20
+
+// noNewWork waits until the other engines have served many requests while one served none.
+func (s *Stage) noNewWork(word string) (bool, error) {
+	number, err := strconv.Atoi(word)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	before := s.World.Engines[number-1].Served()
+	others := func() int64 {
+		total := int64(0)
+		for i, engine := range s.World.Engines {
+			if i != number-1 {
+				total += engine.Served()
+			}
+		}
+		return total
+	}
+	begun := others()
+	err = Wait("other engines serve", func() bool { return others() >= begun+quietRequests })
+	return s.World.Engines[number-1].Served() == before, err
+}
+
+// everyRouter asks the named router, or all that are running.
+func (s *Stage) everyRouter(name string, holds func(*hwworld.Router) bool) bool {
+	for _, r := range s.World.All() {
+		if name != r.Name && !r.Router.Ready() {
+			continue
+		}
+		if (name == "" || name == "all" || name == r.Name) && !holds(r) {
+			return false
+		}
+	}
+	return true
+}
--- a/lib/hwpeer/peer_test.go
+++ b/lib/hwpeer/peer_test.go
@@ -61,7 +61,7 @@
 	})
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		assert.NoError(t, <-done)
 	})
 	return listener.Addr().String(), &refused
 }
--- a/lib/hwslot/allocate.go
+++ b/lib/hwslot/allocate.go
@@ -104,7 +104,7 @@
 		}
 	case float64(total) >= target+1:
 		excess := total - int(math.Ceil(target))
-		lower(allowed, r.upstreams, min(excess, max(0, -b.unclaimed(report.Instance))))
+		lower(allowed, r.upstreams, min(excess, max(-b.unclaimed(report.Instance), b.overcommitted())))
 	default:
 		b.raise(allowed, b.wanted(report.Instance, total, target))
 	}
@@ -140,7 +140,7 @@
 	return max(wanted, min(waiting, b.unclaimed(instance)))
 }
 
-// unclaimed returns the free slots that no other router lacks to its target; below zero it is how many the others lack. A router above its target gives slots back only for others that lack them: slots that come back to nobody would idle.
+// unclaimed returns the free slots that no other router lacks to its target; below zero it is how many the others lack. A router above its target gives slots back only for others that lack them, or because more is held than there is: slots that come back to nobody would idle.
 func (b *Broker) unclaimed(instance string) int {
 	free := b.free()
 	for name, claim := range b.claims {
@@ -151,6 +151,15 @@
 	return free
 }
 
+// overcommitted returns by how much holdings and what silent members keep exceed the limits, over all upstreams. It happens when leases ended and when two brokers were at work.
+func (b *Broker) overcommitted() int {
+	total := 0
+	for _, u := range b.names {
+		total += max(0, b.held[u]+b.kept[u]-b.Limit(u))
+	}
+	return total
+}
+
 func (b *Broker) free() int {
 	total := 0
 	for _, u := range b.names {
@@ -161,6 +170,9 @@
 
 // lower takes idle slots first, then slots in use; those come free as requests end.
 func lower(allowed map[string]int, holdings map[string]holding, count int) {
+	if count <= 0 {
+		return
+	}
 	names := slices.Sorted(maps.Keys(allowed))
 	idle := make([]int, len(names))
 	for i, u := range names {
--- a/lib/hwslot/slot_test.go
+++ b/lib/hwslot/slot_test.go
@@ -259,6 +259,32 @@
 	assert.Equal(t, 100*(24-8), sum, "the others use all but the floor of the silent one")
 }
 
+// TestABrokerThatHearsOnlyItselfMakesRoomForTheOthers is the trace of a partition in which 217 of 144 slots were in use: the cut-off router became its own broker and took nothing back from itself, because nobody it heard lacked a slot.
+func TestABrokerThatHearsOnlyItselfMakesRoomForTheOthers(t *testing.T) {
+	r := newRig(3, map[string]int{"u1": 24})
+	r.waiting = []int{500, 0, 0}
+	step := func(routers int) {
+		r.now = r.now.Add(50 * time.Millisecond)
+		for i := range routers {
+			r.report(i)
+			r.start(i)
+		}
+	}
+	for range 100 {
+		step(3)
+	}
+	require.Equal(t, 24, r.inUse("u1"))
+	r.newBroker()
+	r.holders[0].Failed()
+	for range 100 {
+		if r.holders[0].InUse("u1") > 0 {
+			r.holders[0].Release("u1")
+		}
+		step(1)
+	}
+	assert.LessOrEqual(t, r.inUse("u1"), 24-2*hwslot.Decayed(0, 8), "what silent members may use is left to them")
+}
+
 // TestGrantsNeverExceedTheLimit drives one broker and its routers through lost reports, lost answers, late answers and ends of requests in any order.
 func TestGrantsNeverExceedTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
