--- /dev/null
+++ b/cmd/hickorywick-standin/internal/hwmeasure/keyed.go
@@ -0,0 +1,95 @@
+package hwmeasure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwload"
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwworld"
+	"github.com/hickorywick/hickorywick/lib/hwdispatch"
+	"github.com/hickorywick/hickorywick/lib/hwdocument"
+	"github.com/hickorywick/hickorywick/lib/hwrouter"
+	"github.com/hickorywick/hickorywick/lib/hwtask"
+)
+
+// The load of keyed requests: 500 a second over the fleet, with a store that answers in 3 ms.
+const (
+	keyedRate   = 500
+	keyedLength = 10 * time.Second
+	storeDelay  = 3 * time.Millisecond
+)
+
+// Keyed measures what the record of keyed requests costs: store writes a second, and the time that it adds to a request.
+func Keyed(ctx context.Context, out io.Writer) error {
+	world, err := keyedWorld(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer world.Close()
+	before := world.Store.Counts()
+	books := hwload.NewBooks()
+	load, cancel := context.WithTimeout(ctx, keyedLength)
+	defer cancel()
+	var tasks []<-chan error
+	client := hwload.NewClient(0)
+	defer client.Close()
+	for i, router := range world.All() {
+		tasks = append(tasks, hwtask.Start(load, func(ctx context.Context) error {
+			client.Run(ctx, func(string) string { return router.Callers }, hwload.Source{
+				Account: Account(0),
+				Router:  router.Name,
+				Rate:    func(time.Duration) float64 { return keyedRate / float64(len(world.All())) },
+				Service: true,
+			}, uint64(i+1), books)
+			return nil
+		}))
+	}
+	if err := hwtask.Join(tasks...); err != nil {
+		return trace.Wrap(err)
+	}
+	after := world.Store.Counts()
+	var spans []time.Duration
+	for _, r := range books.Records() {
+		spans = append(spans, r.Ended.Sub(r.Began))
+	}
+	_, most := world.Services[0].Most()
+	_, err = fmt.Fprintf(out, "case=keyed requests=%d answered=%d broken=%d most-executions-of-a-key=%d store-writes-per-second=%.1f store-reads-per-second=%.1f p50-ms=%.1f p99-ms=%.1f\n",
+		len(spans), books.Count("", hwload.Answered), books.Count("", hwload.Broken), most,
+		float64(after.Writes-before.Writes)/keyedLength.Seconds(), float64(after.Reads-before.Reads)/keyedLength.Seconds(),
+		ms(hwload.Percentile(spans, 0.5)), ms(hwload.Percentile(spans, 0.99)))
+	return trace.Wrap(err)
+}
+
+func keyedWorld(ctx context.Context) (*hwworld.World, error) {
+	world, err := hwworld.New(ctx, hwworld.Settings{
+		Routers:      4,
+		Zones:        3,
+		Services:     1,
+		ServiceSlots: 400,
+		Accounts: []hwdocument.Account{{
+			Name:       Account(0),
+			Share:      1,
+			KeySHA256:  []string{hwworld.KeyDigest(Account(0))},
+			QueueBound: 4096,
+		}},
+		Coordination: hwrouter.Leased,
+		Gain:         hwrouter.DefaultGain,
+		Lanes:        hwdispatch.SplitLanes,
+		Times:        hwrouter.DefaultTimes(),
+		StoreDelay:   storeDelay,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ready, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	if err := world.WaitReady(ready); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	time.Sleep(2 * settleTime)
+	return world, nil
+}
--- a/cmd/hickorywick-standin/main.go
+++ b/cmd/hickorywick-standin/main.go
@@ -23,7 +23,7 @@
 type arguments struct {
 	Demo     demoCommand     `cmd:"" help:"Run stand-ins and four routers in this process under a mixed load and print who got what."`
 	Measure  measureCommand  `cmd:"" help:"Measure a case under a policy with real routers on loopback sockets and print key=value lines."`
-	Overhead overheadCommand `cmd:"" help:"Compare one router with the engine itself: added latency, tokens a second, memory per open stream."`
+	Overhead overheadCommand `cmd:"" help:"Compare one router with the engine itself: added latency, tokens a second, memory per open stream; and what the record of keyed requests costs."`
 	Slopes   slopesCommand   `cmd:"" help:"Read the output of Go benchmarks and print the line through each metric."`
 	Platform platformCommand `cmd:"" help:"Serve the store, the instance list, engines and a service on loopback ports until interrupted."`
 }
@@ -46,7 +46,12 @@
 type overheadCommand struct{}
 
 // Run compares.
-func (c overheadCommand) Run(ctx context.Context) error { return hwmeasure.Overhead(ctx, os.Stdout) }
+func (c overheadCommand) Run(ctx context.Context) error {
+	if err := hwmeasure.Overhead(ctx, os.Stdout); err != nil {
+		return err
+	}
+	return hwmeasure.Keyed(ctx, os.Stdout)
+}
 
 type slopesCommand struct{}
 
--- /dev/null
+++ b/cmd/hickorywick-standin/scenarios/callers_test.go
@@ -0,0 +1,157 @@
+package hwscenarios
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwscript"
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwworld"
+)
+
+func newStage(t *testing.T, words ...string) *hwscript.Stage {
+	stage, err := hwscript.NewStage(hwscript.Parse(words))
+	require.NoError(t, err)
+	t.Cleanup(stage.Close)
+	return stage
+}
+
+// TestARealClient uses the model API as its callers do.
+func TestARealClient(t *testing.T) {
+	stage := newStage(t, "routers=1", "engines=2", "services=0")
+	client := openai.NewClient(
+		option.WithBaseURL("http://"+stage.World.All()[0].Callers+"/v1"),
+		option.WithAPIKey(hwworld.Key("account-1")),
+	)
+	ctx := context.Background()
+	params := openai.ChatCompletionNewParams{
+		Model:    hwworld.Model,
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("which ale is on?")},
+	}
+	whole, err := client.Chat.Completions.New(ctx, params)
+	require.NoError(t, err)
+	assert.True(t, strings.HasPrefix(whole.Choices[0].Message.Content, "t0 t1 "))
+
+	stream := client.Chat.Completions.NewStreaming(ctx, params)
+	pieces := 0
+	for stream.Next() {
+		pieces++
+	}
+	require.NoError(t, stream.Err())
+	assert.Equal(t, 16, pieces)
+
+	models, err := client.Models.List(ctx)
+	require.NoError(t, err)
+	assert.Equal(t, hwworld.Model, models.Data[0].ID)
+
+	params.Model = "unknown"
+	_, err = client.Chat.Completions.New(ctx, params)
+	var refused *openai.Error
+	require.ErrorAs(t, err, &refused)
+	assert.Equal(t, 404, refused.StatusCode)
+	assert.Equal(t, "unknown-model", refused.Type)
+}
+
+func TestBadInputIsRefusedAsNotRun(t *testing.T) {
+	stage := newStage(t, "routers=1", "engines=1", "services=1")
+	router := stage.World.All()[0]
+	cases := []struct {
+		name, method, path, key, body string
+		status                        int
+		kind                          string
+	}{
+		{"no key", "POST", "/v1/chat/completions", "", "{}", 401, "unknown-key"},
+		{"unknown key", "POST", "/v1/chat/completions", "nobody", "{}", 401, "unknown-key"},
+		{"not JSON", "POST", "/v1/chat/completions", hwworld.Key("account-1"), "hello", 400, "malformed-request"},
+		{"no prompt", "POST", "/v1/chat/completions", hwworld.Key("account-1"), `{"model":"standin-model"}`, 400, "malformed-request"},
+		{"a prompt of the other kind", "POST", "/v1/completions", hwworld.Key("account-1"), `{"model":"standin-model","messages":[]}`, 400, "malformed-request"},
+		{"unknown model", "POST", "/v1/completions", hwworld.Key("account-1"), `{"model":"x","prompt":"y"}`, 404, "unknown-model"},
+		{"wrong method", "GET", "/v1/completions", hwworld.Key("account-1"), "", 405, "method-not-allowed"},
+		{"unknown path", "POST", "/v2/completions", hwworld.Key("account-1"), "{}", 404, "unknown-route"},
+		{"unknown service", "POST", "/services/none/orders", hwworld.Key("account-1"), "", 404, "unknown-route"},
+		{"unknown route", "POST", "/services/desk/none", hwworld.Key("account-1"), "", 404, "unknown-route"},
+		{"method of the route", "DELETE", "/services/desk/orders", hwworld.Key("account-1"), "", 405, "method-not-allowed"},
+		{"body too large", "POST", "/v1/completions", hwworld.Key("account-1"), strings.Repeat("x", 9<<20), 413, "body-too-large"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			request, err := http.NewRequest(c.method, "http://"+router.Callers+c.path, strings.NewReader(c.body))
+			require.NoError(t, err)
+			request.Header.Set("Authorization", "Bearer "+c.key)
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			assert.Equal(t, c.status, response.StatusCode)
+			assert.Contains(t, string(body), `"type":"`+c.kind+`"`)
+			assert.Contains(t, string(body), `"execution":"not-run"`)
+		})
+	}
+	assert.Zero(t, stage.World.Engines[0].Served(), "nothing reached the engine")
+}
+
+func TestOperatorsListenerAsksForItsKey(t *testing.T) {
+	stage := newStage(t, "routers=1", "engines=1", "services=0")
+	for key, want := range map[string]int{
+		"":                       401,
+		"wrong":                  401,
+		hwworld.Key("account-1"): 401,
+		hwworld.OperatorKey:      200,
+	} {
+		for _, path := range []string{"/status", "/debug/vars"} {
+			request, err := http.NewRequest(http.MethodGet, "http://"+stage.World.All()[0].Operators+path, nil)
+			require.NoError(t, err)
+			request.Header.Set("Authorization", "Bearer "+key)
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			assert.Equal(t, want, response.StatusCode, path+" with "+key)
+		}
+	}
+}
+
+func TestKeysAreNeverLogged(t *testing.T) {
+	stage := newStage(t, "routers=2", "engines=1", "services=1")
+	for i, words := range []string{
+		"POST /services/desk/orders key=secret-order body=b",
+		"POST /services/desk/orders body=b",
+		"POST /v1/chat/completions body=b",
+		"POST /nowhere body=b",
+	} {
+		name := string(rune('a' + i))
+		require.NoError(t, stage.Begin(hwscript.Parse(append([]string{name, "router-1"}, strings.Fields(words)...))))
+		_, err := stage.Reply(name)
+		require.NoError(t, err)
+	}
+	require.NotEmpty(t, stage.Log())
+	for _, secret := range []string{hwworld.Key("account-1"), hwworld.OperatorKey, "peer-key", "secret-order"} {
+		assert.NotContains(t, stage.Log(), secret)
+	}
+}
+
+// TestACallerThatGoesAwayFreesItsSlot cancels a stream and waits until the engine is idle.
+func TestACallerThatGoesAwayFreesItsSlot(t *testing.T) {
+	stage := newStage(t, "routers=1", "engines=1", "services=0")
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+stage.World.All()[0].Callers+"/v1/chat/completions",
+		strings.NewReader(`{"model":"standin-model","stream":true,"messages":[{"role":"user","content":"x"}]}`))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+hwworld.Key("account-1"))
+	request.Header.Set("X-Standin-Tokens", "100000")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	cancel()
+	require.NoError(t, hwscript.Wait("an idle engine", func() bool {
+		running, _ := stage.World.Engines[0].Running()
+		return running == 0
+	}))
+	_ = response.Body.Close()
+}
