Report on service-level burn

Objectives of the document are counted per instance and merged over the fleet; hickorywickctl report burn prints budget left, burn rates over 5 min/1 h and 30 min/6 h, and what would page and why. A test drives an outage from calm to burning and back.

--- a/cmd/hickorywickctl/main.go
+++ b/cmd/hickorywickctl/main.go
@@ -31,6 +31,7 @@
 	History         historyCommand  `cmd:"" help:"Query: print the versions of an environment."`
 	Status          statusCommand   `cmd:"" help:"Query: print instances, versions in force, brokers and slots."`
 	Fairness        fairnessCommand `cmd:"" help:"Query: print service by account and the gap now."`
+	Report          reportCommand   `cmd:"" help:"Query: reports for operators and finance."`
 	Put             putCommand      `cmd:"" help:"Command: store a document file as the next version of its environment."`
 	Promote         promoteCommand  `cmd:"" help:"Command: make one environment's document the next version of another."`
 	RollbackForward rollbackCommand `cmd:"" help:"Command: make an earlier version's document the next version."`
@@ -103,6 +104,19 @@
 	return hwquery.Fairness(ctx, os.Stdout, a.operators())
 }
 
+type reportCommand struct {
+	Burn burnCommand `cmd:"" help:"How fast each service-level objective uses up its error budget."`
+}
+
+type burnCommand struct {
+	Output string `default:"table" enum:"table,json" help:"Format: table or json."`
+}
+
+// Run prints the report.
+func (c burnCommand) Run(ctx context.Context, a *arguments) error {
+	return hwquery.Burn(ctx, os.Stdout, a.operators(), hwquery.Output(c.Output))
+}
+
 type putCommand struct{ fileArgument }
 
 // Run stores the file.
--- /dev/null
+++ b/lib/hwburn/burn_test.go
@@ -0,0 +1,93 @@
+package hwburn_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorywick/hickorywick/lib/hwburn"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func objective() hwburn.Objective {
+	return hwburn.Objective{
+		Account: "bar-staff",
+		Pool:    "desk",
+		Within:  time.Second,
+		Target:  0.99,
+	}
+}
+
+// TestAnOutageBurnsAndPasses drives two instances from calm into an outage and back; the fleet's verdict follows.
+func TestAnOutageBurnsAndPasses(t *testing.T) {
+	meters := []*hwburn.Meter{hwburn.NewMeter(start, objective()), hwburn.NewMeter(start, objective())}
+	now := start
+	run := func(span time.Duration, bad bool) hwburn.Verdict {
+		for end := now.Add(span); now.Before(end); now = now.Add(time.Second) {
+			for _, m := range meters {
+				m.Observe(now, 100*time.Millisecond, !bad)
+			}
+		}
+		rows, err := hwburn.Merge(meters[0].Row(now), meters[1].Row(now))
+		require.NoError(t, err)
+		require.Len(t, rows, 1)
+		return hwburn.Judge(rows)[0]
+	}
+	calm := run(2*time.Hour, false)
+	assert.False(t, calm.Pages)
+	assert.InDelta(t, 1, calm.Remaining, 1e-9)
+	assert.Equal(t, int64(2*7200), calm.Requests, "both instances count")
+
+	first := run(time.Minute, true)
+	assert.False(t, first.Pages, "a minute is not yet worth a page: %s", first.Why)
+	burning := run(12*time.Minute, true)
+	assert.True(t, burning.Pages)
+	assert.Contains(t, burning.Why, "times too fast over 5m0s")
+	assert.Negative(t, burning.Remaining)
+
+	after := run(10*time.Minute, false)
+	assert.False(t, after.ShortRates[0] > 14.4, "the short window shows that it is over")
+	back := run(6*time.Hour, false)
+	assert.False(t, back.Pages)
+	assert.InDelta(t, 1, back.Remaining, 1e-9)
+}
+
+func TestLateAndUntruthfulAreBad(t *testing.T) {
+	cases := []struct {
+		name     string
+		first    time.Duration
+		truthful bool
+		bad      int64
+	}{
+		{"in time", time.Second, true, 0},
+		{"late", time.Second + 1, true, 1},
+		{"not known whether it ran", 0, false, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := hwburn.NewMeter(start, objective())
+			m.Observe(start, c.first, c.truthful)
+			assert.Equal(t, hwburn.Count{Total: 1, Bad: c.bad}, m.Over(start, time.Hour))
+		})
+	}
+}
+
+func ExampleMeter() {
+	now := time.Unix(1_700_000_000, 0)
+	m := hwburn.NewMeter(now, hwburn.Objective{
+		Account: "bar-staff",
+		Pool:    "desk",
+		Within:  time.Second,
+		Target:  0.9,
+	})
+	for i := range 10 {
+		m.Observe(now, 50*time.Millisecond, i > 0)
+	}
+	verdict := hwburn.Judge([]hwburn.Row{m.Row(now)})[0]
+	fmt.Printf("%d requests, budget burns at %.0f times its rate\n", verdict.Requests, verdict.ShortRates[0])
+	// Output: 10 requests, budget burns at 1 times its rate
+}
--- a/lib/hwrouter/document.go
+++ b/lib/hwrouter/document.go
@@ -161,6 +161,7 @@
 
 // configure brings pools and brokers in line with a new document. The pools' lock is held.
 func (r *Router) configure(document *hwdocument.Document) {
+	r.objectives.setDocument(time.Now(), document)
 	members := r.members()
 	for _, spec := range document.Pools {
 		if p, known := r.pools[spec.Name]; known {
--- a/lib/hwrouter/operators.go
+++ b/lib/hwrouter/operators.go
@@ -99,6 +99,9 @@
 	mux.Handle("GET /status", r.operatorsOnly(func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, r.Status(time.Now()))
 	}))
+	mux.Handle("GET /reports/burn", r.operatorsOnly(func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, r.Burn(time.Now()))
+	}))
 	mux.Handle("POST /orders", r.operatorsOnly(r.orderHandler))
 	return mux
 }
--- a/lib/hwrouter/router.go
+++ b/lib/hwrouter/router.go
@@ -75,6 +75,7 @@
 
 	owners     owners
 	quarantine *quarantine
+	objectives objectives
 	// background runs short tasks that no caller waits for.
 	background *group
 
--- a/lib/hwrouter/serve.go
+++ b/lib/hwrouter/serve.go
@@ -36,6 +36,9 @@
 	writer http.ResponseWriter
 	// fingerprint names the request among those that crash upstreams.
 	fingerprint hwquarantine.Fingerprint
+	// began is when the request came, firstByte when the head of its answer went out.
+	began     time.Time
+	firstByte time.Time
 	// attempts counts the attempts made.
 	attempts int
 	excluded []string
@@ -79,6 +82,7 @@
 	if refusal == nil {
 		refusal = d.once(ctx)
 	}
+	d.count(refusal)
 	if refusal != nil {
 		d.refuse(refusal)
 		return
@@ -339,6 +343,7 @@
 	d.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	d.writer.Header().Set(hwintake.ExecutionHeader, string(hwerror.Ran))
 	d.headed = true
+	d.firstByte = time.Now()
 	d.writer.WriteHeader(answer.Status)
 	if _, err := d.writer.Write(body); err != nil {
 		return err
@@ -353,6 +358,7 @@
 		hwintake.CopyHeader(d.writer.Header(), answer.Header)
 		d.writer.Header().Set(hwintake.ExecutionHeader, string(hwerror.Ran))
 		d.headed = true
+		d.firstByte = time.Now()
 		d.writer.WriteHeader(answer.Status)
 		d.cost = d.call.PromptTokens * d.call.Pool.PromptWeight
 	}
--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -43,6 +43,7 @@
   -H 'Idempotency-Key: order-1' -d 'two tokens' | grep -q 'done POST order-1'
 "$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 status
 "$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 fairness
+"$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 report burn | grep -q 'cellar-stewards'
 
 # A graceful stop lets a request in flight finish.
 curl -fsS http://127.0.0.1:19001/v1/chat/completions -H 'Authorization: Bearer cellar-key' -H 'X-Standin-Tokens: 100' \
