--- /dev/null
+++ b/cmd/hickorywickctl/internal/hwcommand/order.go
@@ -0,0 +1,59 @@
+package hwcommand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/lib/hwrouter"
+)
+
+// orderTimeout is longer than the lease and the longest order together.
+const orderTimeout = 30 * time.Second
+
+// OrderFailedError says that an upstream is not known to be in the ordered state.
+type OrderFailedError struct {
+	Result hwrouter.OrderResult
+}
+
+// Error gives the outcome and the reason.
+func (e *OrderFailedError) Error() string {
+	return fmt.Sprintf("the order ended as %s: %s", e.Result.Outcome, e.Result.Message)
+}
+
+// Order asks a router to place an order at an upstream under the orderers' lease.
+func Order(ctx context.Context, out io.Writer, address, key string, order hwrouter.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	body, err := json.Marshal(order)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/orders", bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var result hwrouter.OrderResult
+	if err := json.NewDecoder(response.Body).Decode(&result); err != nil {
+		return trace.ConnectionProblem(err, "%s answered with status %d", address, response.StatusCode)
+	}
+	if result.Outcome != hwrouter.OrderDone {
+		return trace.Wrap(&OrderFailedError{
+			Result: result,
+		})
+	}
+	_, err = fmt.Fprintf(out, "%s is in the ordered state, fencing number %d\n", order.Upstream, result.Fence)
+	return trace.Wrap(err)
+}
--- a/cmd/hickorywickctl/main.go
+++ b/cmd/hickorywickctl/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/hickorywick/hickorywick/cmd/hickorywickctl/internal/hwcommand"
 	"github.com/hickorywick/hickorywick/cmd/hickorywickctl/internal/hwquery"
+	"github.com/hickorywick/hickorywick/lib/hwrouter"
 	"github.com/hickorywick/hickorywick/lib/hwstore"
 )
 
@@ -34,6 +35,7 @@
 	Report          reportCommand   `cmd:"" help:"Query: reports for operators and finance."`
 	Put             putCommand      `cmd:"" help:"Command: store a document file as the next version of its environment."`
 	Promote         promoteCommand  `cmd:"" help:"Command: make one environment's document the next version of another."`
+	Order           orderCommand    `cmd:"" help:"Command: bring an upstream to a model in a version, under the orderers' lease."`
 	RollbackForward rollbackCommand `cmd:"" help:"Command: make an earlier version's document the next version."`
 }
 
@@ -134,6 +136,23 @@
 	return hwcommand.Promote(ctx, time.Now(), a.environment(), c.From, c.To)
 }
 
+type orderCommand struct {
+	Upstream string `required:"" help:"Address of the upstream, as the document names it."`
+	Model    string `required:"" help:"Model to serve."`
+	Version  string `required:"" help:"Version of the model."`
+	Role     string `help:"Role of the upstream, if it has several."`
+}
+
+// Run places the order through the first of the operators' addresses.
+func (c orderCommand) Run(ctx context.Context, a *arguments) error {
+	return hwcommand.Order(ctx, os.Stdout, a.Operators[0], a.OperatorKey, hwrouter.Order{
+		Upstream: c.Upstream,
+		Model:    c.Model,
+		Version:  c.Version,
+		Role:     c.Role,
+	})
+}
+
 type rollbackCommand struct {
 	environmentArgument
 	Version uint64 `required:"" help:"Earlier version whose document is to be in force again."`
--- a/lib/hwdispatch/messages.go
+++ b/lib/hwdispatch/messages.go
@@ -72,10 +72,13 @@
 	Account string
 	Waiting int
 	Running int
-	// Long is how many of the running requests are in the long lane.
-	Long    int
-	Service float64
-	Counter float64
+	// Long and WaitingLong are how many of the running and waiting requests are in the long lane.
+	Long        int
+	WaitingLong int
+	Service     float64
+	Counter     float64
+	// Aim is the number of slots meant for the account at this router, as the broker last said.
+	Aim float64
 }
 
 // Status is the pool's state at this router.
--- a/lib/hwdispatch/report.go
+++ b/lib/hwdispatch/report.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwerror"
+	"github.com/hickorywick/hickorywick/lib/hwshare"
 	"github.com/hickorywick/hickorywick/lib/hwslot"
 )
 
@@ -100,12 +101,14 @@
 	for _, name := range slices.Sorted(maps.Keys(d.accounts)) {
 		a := d.accounts[name]
 		status.Accounts = append(status.Accounts, AccountStatus{
-			Account: name,
-			Waiting: d.queue.Waiting(name),
-			Running: a.running,
-			Long:    a.long,
-			Service: a.service,
-			Counter: d.counters.Value(name),
+			Account:     name,
+			Waiting:     d.queue.Waiting(name),
+			Running:     a.running,
+			Long:        a.long,
+			WaitingLong: d.queue.WaitingIn(name, hwshare.Long),
+			Aim:         a.aim,
+			Service:     a.service,
+			Counter:     d.counters.Value(name),
 		})
 	}
 	for _, u := range d.pool.Upstreams {
--- a/lib/hwshare/queue.go
+++ b/lib/hwshare/queue.go
@@ -79,6 +79,15 @@
 // Waiting returns how many entries of an account wait.
 func (q *Queue[T]) Waiting(account string) int { return q.waiting[account] }
 
+// WaitingIn returns how many entries of an account wait in a lane.
+func (q *Queue[T]) WaitingIn(account string, lane Lane) int {
+	lanes, known := q.accounts[account]
+	if !known {
+		return 0
+	}
+	return len(lanes[lane])
+}
+
 // Accounts returns the accounts with waiting work, sorted by name so that decisions repeat exactly.
 func (q *Queue[T]) Accounts() []string {
 	names := make([]string, 0, len(q.waiting))
--- a/lib/hwslot/plan.go
+++ b/lib/hwslot/plan.go
@@ -25,13 +25,13 @@
 // MaxMin shares slots by weighted max-min fairness and corrects each account's part by its lag.
 // Gain, per second, says how fast a lag is made good: a lag of one slot-second moves Gain slots.
 //
-// An account that is ahead keeps at least half of its fair part while the others catch up. Without that an account whose long work took more than its share would be left without any slot for as long as that work runs, its short work included.
+// An account that is ahead keeps at least four fifths of its fair part while the others catch up. Without that an account whose long work took more than its share would be left without any slot for as long as that work runs, its short work included.
 type MaxMin struct {
 	Gain float64
 }
 
 // leastOfPart is the part of its fair part that an account keeps however far it is ahead.
-const leastOfPart = 0.5
+const leastOfPart = 0.8
 
 // Name returns the policy's name.
 func (p MaxMin) Name() string { return "max-min" }
--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -44,6 +44,13 @@
 "$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 status
 "$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 fairness
 "$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 report burn | grep -q 'cellar-stewards'
+"$bin/hickorywickctl" --operators 127.0.0.1:19101 order --upstream 127.0.0.1:17002 --model standin-model --version 2 | grep -q 'ordered state'
+sed 's/share: 2/share: 3/' examples/trial.yaml >"$dir/changed.yaml"
+"$bin/hickorywickctl" diff "$dir/changed.yaml" | grep -q '+ account cellar-stewards'
+"$bin/hickorywickctl" put "$dir/changed.yaml"
+"$bin/hickorywickctl" promote --from trial --to production
+"$bin/hickorywickctl" rollback-forward trial --version 1
+"$bin/hickorywickctl" history trial
 
 # A graceful stop lets a request in flight finish.
 curl -fsS http://127.0.0.1:19001/v1/chat/completions -H 'Authorization: Bearer cellar-key' -H 'X-Standin-Tokens: 100' \
