--- a/lib/hwrouter/settings.go
+++ b/lib/hwrouter/settings.go
@@ -80,7 +80,7 @@
 }
 
 // DefaultGain is how fast a lag is made good, per second. Multiplied by the report interval it stays well under one.
-const DefaultGain = 4
+const DefaultGain = 1
 
 // DefaultBodyBytes is the largest request body.
 const DefaultBodyBytes = 8 << 20
