--- a/lib/hwrouter/quarantine.go
+++ b/lib/hwrouter/quarantine.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// strike notes that an upstream crashed with a request in flight, and tells every peer at once: the caller may send it to any of them next.
+// strike notes that an upstream crashed with a request in flight, and tells every peer before it returns: once the caller has its answer it may send the request to any of them next. A peer that does not answer costs one peer timeout.
 func (r *Router) strike(fingerprint hwquarantine.Fingerprint, upstream string) {
 	now := time.Now()
 	quarantined := r.quarantine.merge(now, hwquarantine.Strike{
@@ -101,7 +101,9 @@
 	for _, f := range quarantined {
 		r.logger.Emit(hwevent.RequestQuarantined, hwevent.With("fingerprint", uint64(f)))
 	}
-	r.tellAll()
+	telling := newGroup(r.running)
+	r.tellAll(telling)
+	telling.wait()
 }
 
 // acquit notes that a request in flight at a crash was answered well.
@@ -115,12 +117,12 @@
 		At:          now,
 		Cleared:     true,
 	})
-	r.tellAll()
+	r.tellAll(r.background)
 }
 
-func (r *Router) tellAll() {
+func (r *Router) tellAll(telling *group) {
 	for _, row := range r.others() {
-		r.background.start(func(ctx context.Context) { _ = r.exchange(ctx, row, "", []hwmember.Row{}) })
+		telling.start(func(ctx context.Context) { _ = r.exchange(ctx, row, "", []hwmember.Row{}) })
 	}
 }
 
