--- a/cmd/hickorywick-standin/internal/hwscript/commands.go
+++ b/cmd/hickorywick-standin/internal/hwscript/commands.go
@@ -64,6 +64,7 @@
 		"order":      orderCommand,
 		"ordered":    orderedCommand,
 		"logged":     loggedCommand,
+		"peak":       peakCommand,
 	}
 }
 
@@ -435,3 +436,20 @@
 	}
 	return expect("logged "+name, want, yes(strings.Contains(s.Log(), `"name":"`+name+`"`)))
 }
+
+// peakCommand expects that an engine never ran more requests at once than a number: ENGINE MOST.
+func peakCommand(s *Stage, a Arguments) error {
+	number, err := strconv.Atoi(a.Word(0))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	most, err := strconv.ParseInt(a.Word(1), 10, 64)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, peak := s.World.Engines[number-1].Running()
+	if peak > most {
+		return expect("requests at once at engine "+a.Word(0), "at most "+a.Word(1), strconv.FormatInt(peak, 10))
+	}
+	return nil
+}
