--- a/cmd/hickorywick-standin/internal/hwdemo/demo.go
+++ b/cmd/hickorywick-standin/internal/hwdemo/demo.go
@@ -28,6 +28,8 @@
 	tokenTime    = 5 * time.Millisecond
 	firstToken   = 10 * time.Millisecond
 	sampleEvery  = 100 * time.Millisecond
+	// brokersListen is how long the brokers of a starting fleet only listen; until then every router has an equal part of the slots.
+	brokersListen = 3500 * time.Millisecond
 )
 
 type demoAccount struct {
@@ -109,7 +111,11 @@
 	}
 	ready, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
-	return world, world.WaitReady(ready)
+	if err := world.WaitReady(ready); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	time.Sleep(brokersListen)
+	return world, nil
 }
 
 func load(ctx context.Context, world *hwworld.World, client *hwload.Client, books *hwload.Books, length time.Duration) {
--- a/cmd/hickorywick-standin/main.go
+++ b/cmd/hickorywick-standin/main.go
@@ -59,7 +59,7 @@
 func (c slopesCommand) Run() error { return hwslope.Run(os.Stdin, os.Stdout) }
 
 type demoCommand struct {
-	Length time.Duration `default:"10s" help:"How long the load lasts." env:"HICKORYWICK_DEMO_LENGTH"`
+	Length time.Duration `default:"8s" help:"How long the load lasts." env:"HICKORYWICK_DEMO_LENGTH"`
 }
 
 // Run runs the demonstration.
