Service-level burn counts from the request's beginning

Cause: a request's beginning was never set, so the time to its first byte was the distance from the zero time, and every answer counted as late. The unit tests of hwburn pass times themselves, and the smoke test only looked for the account's name in the report. Change: the beginning is set where the request enters the router; the smoke test asks for a full budget after a good answer. Before: the smoke test with the new check fails. After: it passes. Conclusion: a report is only proved by its figures.

--- a/lib/hwrouter/serve.go
+++ b/lib/hwrouter/serve.go
@@ -71,6 +71,7 @@
 		call:        call,
 		pool:        r.pool(call.Pool.Name),
 		writer:      writer,
+		began:       time.Now(),
 		fingerprint: hwquarantine.FingerprintOf(call.Account.Name, call.Path, call.BodyHash),
 	}
 	if d.pool == nil {
--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -43,7 +43,7 @@
   -H 'Idempotency-Key: order-1' -d 'two tokens' | grep -q 'done POST order-1'
 "$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 status
 "$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 fairness
-"$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 report burn | grep -q 'cellar-stewards'
+"$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 report burn | grep 'cellar-stewards.* 100 %'
 "$bin/hickorywickctl" --operators 127.0.0.1:19101 order --upstream 127.0.0.1:17002 --model standin-model --version 2 | grep -q 'ordered state'
 sed 's/share: 2/share: 3/' examples/trial.yaml >"$dir/changed.yaml"
 "$bin/hickorywickctl" diff "$dir/changed.yaml" | grep -q '+ account cellar-stewards'
