--- a/cmd/hickorywick-router/internal/hwflags/flags.go
+++ b/cmd/hickorywick-router/internal/hwflags/flags.go
@@ -114,15 +114,7 @@
 	if !pool.AppendCertsFromPEM(authority) {
 		return security, trace.BadParameter("peer-authority holds no certificate")
 	}
-	security.TLS = &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{certificate},
-		RootCAs:      pool,
-		ClientCAs:    pool,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		// The certificates of all routers carry this one name, because instances are known by changing IP numbers.
-		ServerName: "hickorywick-router",
-	}
+	security.TLS = hwpeer.MutualTLS(certificate, pool)
 	return security, nil
 }
 
--- a/lib/hwpeer/convert.go
+++ b/lib/hwpeer/convert.go
@@ -1,6 +1,7 @@
 package hwpeer
 
 import (
+	"math"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwmember"
@@ -51,11 +52,19 @@
 		Waiting:    int(r.GetWaiting()),
 		Running:    int(r.GetRunning()),
 		OldestWait: time.Duration(r.GetOldestWaitMs()) * time.Millisecond,
-		Service:    r.GetService(),
-		Pending:    r.GetPending(),
+		Service:    amount(r.GetService()),
+		Pending:    amount(r.GetPending()),
 	}
 }
 
+// amount returns an amount as it came if it can be one. Sums that once took in a number that is none never recover.
+func amount(value float64) float64 {
+	if value >= 0 && value <= math.MaxFloat32 {
+		return value
+	}
+	return 0
+}
+
 func counterToWire(r hwslot.CounterRow) *hwpeerpb.CounterRow {
 	return &hwpeerpb.CounterRow{
 		Account: r.Account,
@@ -67,7 +76,7 @@
 func counterFromWire(r *hwpeerpb.CounterRow) hwslot.CounterRow {
 	return hwslot.CounterRow{
 		Account: r.GetAccount(),
-		Counter: r.GetCounter(),
+		Counter: amount(r.GetCounter()),
 		Aim:     float64(r.GetAim()),
 	}
 }
--- /dev/null
+++ b/lib/hwpeer/fuzz_test.go
@@ -0,0 +1,165 @@
+package hwpeer_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hickorywick/hickorywick/lib/hwmember"
+	"github.com/hickorywick/hickorywick/lib/hwpeer"
+	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
+	"github.com/hickorywick/hickorywick/lib/hwslot"
+)
+
+var fuzzStart = time.Unix(1_700_000_000, 0)
+
+// seed adds a message to a fuzz target's corpus.
+func seed(f *testing.F, message proto.Message) {
+	f.Helper()
+	data, err := proto.Marshal(message)
+	require.NoError(f, err)
+	f.Add(data)
+}
+
+// FuzzReport lets a broker take any report twice among sound ones: its counters stay numbers, and it never grants more than the limits.
+func FuzzReport(f *testing.F) {
+	seed(f, hwpeer.ReportToWire(report(2, 2)))
+	seed(f, &hwpeerpb.ReportRequest{
+		Instance: "router-2",
+		Full:     true,
+		Sequence: 1,
+		Accounts: []*hwpeerpb.AccountRow{{
+			Account: "a",
+			Waiting: math.MaxUint32,
+			Service: math.NaN(),
+			Pending: math.Inf(1),
+		}},
+		Upstreams: []*hwpeerpb.UpstreamRow{{
+			Upstream: "u",
+			Held:     math.MaxUint32,
+		}},
+	})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var in hwpeerpb.ReportRequest
+		if proto.Unmarshal(data, &in) != nil {
+			return
+		}
+		broker := hwslot.NewBroker(fuzzStart, hwslot.BrokerSettings{
+			Lease: time.Second,
+			Policy: hwslot.MaxMin{
+				Gain: 1,
+			},
+		})
+		broker.SetLimits(map[string]int{
+			"u": 4,
+		})
+		for second := range 3 {
+			now := fuzzStart.Add(time.Duration(second+1) * 300 * time.Millisecond)
+			grants := []hwslot.Grant{
+				broker.Report(now, hwpeer.ReportFromWire(&in)),
+				broker.Report(now, hwslot.Report{
+					Instance: "sound",
+					Sequence: uint64(second + 1),
+					Full:     true,
+					Accounts: []hwslot.AccountRow{{
+						Account: "b",
+						Waiting: 3,
+					}},
+				}),
+			}
+			for _, grant := range grants {
+				for _, row := range grant.Upstreams {
+					assert.LessOrEqual(t, row.Held, 4)
+					assert.GreaterOrEqual(t, row.Held, 0)
+				}
+			}
+		}
+		assert.False(t, math.IsNaN(broker.Gap()) || math.IsInf(broker.Gap(), 0))
+	})
+}
+
+// FuzzGrant lets a holder take any grant: it never uses more than its own document allows.
+func FuzzGrant(f *testing.F) {
+	seed(f, hwpeer.GrantToWire(hwslot.Grant{
+		Sequence: 1,
+		Lease:    time.Second,
+		Upstreams: []hwslot.UpstreamRow{{
+			Upstream: "u",
+			Held:     3,
+		}},
+	}))
+	seed(f, &hwpeerpb.ReportReply{
+		Sequence: 1,
+		Upstreams: []*hwpeerpb.UpstreamRow{{
+			Upstream: "u",
+			Held:     math.MaxUint32,
+		}},
+	})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var in hwpeerpb.ReportReply
+		if proto.Unmarshal(data, &in) != nil {
+			return
+		}
+		holder := hwslot.NewHolder(hwslot.HolderSettings{
+			Instance: "router-1",
+			Lease:    time.Second,
+		})
+		holder.SetLimits(map[string]int{
+			"u": 4,
+		})
+		holder.Report(fuzzStart, nil, nil, false)
+		holder.Grant(hwpeer.GrantFromWire(&in))
+		assert.LessOrEqual(t, holder.Free("u"), 4)
+		held, inUse := holder.Held()
+		assert.LessOrEqual(t, held, 4)
+		assert.Zero(t, inUse)
+	})
+}
+
+// FuzzGossip lets a member take any rows: it stays alive in its own view, and what it tells others it can take itself.
+func FuzzGossip(f *testing.F) {
+	seed(f, &hwpeerpb.GossipRequest{
+		Members: hwpeer.MembersToWire([]hwmember.Row{
+			{
+				Instance: "router-1",
+				Boot:     1,
+				State:    hwmember.Dead,
+			},
+			{
+				Instance:    "router-2",
+				Address:     "127.0.0.1:1",
+				Boot:        1 << 40,
+				Incarnation: math.MaxUint64,
+			},
+		}),
+	})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var in hwpeerpb.GossipRequest
+		if proto.Unmarshal(data, &in) != nil {
+			return
+		}
+		table := hwmember.New(hwmember.Settings{
+			ProbeEvery: time.Second,
+			SuspectFor: time.Second,
+			Indirect:   2,
+			Piggyback:  8,
+			Spread:     6,
+		}, hwmember.Row{
+			Instance: "router-1",
+			Address:  "127.0.0.1:2",
+			Boot:     1,
+		}, rand.NewPCG(1, 2))
+		for second := range 3 {
+			now := fuzzStart.Add(time.Duration(second) * time.Second)
+			table.Merge(now, hwpeer.MembersFromWire(in.GetMembers()))
+			table.Tick(now)
+			table.Merge(now, hwpeer.MembersFromWire(hwpeer.MembersToWire(table.Rows())))
+			assert.Contains(t, table.Alive(), "router-1")
+		}
+	})
+}
--- a/lib/hwpeer/peer.go
+++ b/lib/hwpeer/peer.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/subtle"
 	"crypto/tls"
+	"crypto/x509"
 	"net"
 	"time"
 
@@ -29,6 +30,21 @@
 	TLS       *tls.Config
 }
 
+// CertificateName is the one name that the certificates of all routers carry, because instances are known by changing IP numbers.
+const CertificateName = "hickorywick-router"
+
+// MutualTLS returns a configuration in which both sides show a certificate of the authority.
+func MutualTLS(certificate tls.Certificate, authority *x509.CertPool) *tls.Config {
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{certificate},
+		RootCAs:      authority,
+		ClientCAs:    authority,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ServerName:   CertificateName,
+	}
+}
+
 // StrangerError says that a call came without the shared key.
 type StrangerError struct {
 	Method string
--- a/lib/hwpeer/peer_test.go
+++ b/lib/hwpeer/peer_test.go
@@ -100,21 +100,6 @@
 	assert.Equal(t, rows, hwpeer.MembersFromWire(hwpeer.MembersToWire(rows)))
 }
 
-func FuzzReport(f *testing.F) {
-	data, err := proto.Marshal(hwpeer.ReportToWire(report(2, 2)))
-	require.NoError(f, err)
-	f.Add(data)
-	f.Fuzz(func(_ *testing.T, data []byte) {
-		var in hwpeerpb.ReportRequest
-		if proto.Unmarshal(data, &in) != nil {
-			return
-		}
-		broker := hwslot.NewBroker(time.Unix(0, 0), hwslot.BrokerSettings{Lease: time.Second, Policy: hwslot.MaxMin{}})
-		broker.SetLimits(map[string]int{"u": 4})
-		broker.Report(time.Unix(1, 0), hwpeer.ReportFromWire(&in))
-	})
-}
-
 func BenchmarkSlopeReportBytes(b *testing.B) {
 	for _, accounts := range []int{1, 4, 16, 48} {
 		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
--- a/lib/hwslot/holder.go
+++ b/lib/hwslot/holder.go
@@ -124,6 +124,14 @@
 	return allowed, inUse
 }
 
+// At returns the slots held and in use at an upstream.
+func (h *Holder) At(upstream string) (allowed, inUse int) {
+	if s, known := h.slots[upstream]; known {
+		return s.allowed, s.inUse
+	}
+	return 0, 0
+}
+
 // InUse returns how many requests run at an upstream.
 func (h *Holder) InUse(upstream string) int {
 	if s, known := h.slots[upstream]; known {
@@ -208,8 +216,9 @@
 	h.confirm(h.inFlight)
 	for _, row := range grant.Upstreams {
 		s, known := h.slots[row.Upstream]
-		if known && h.limits[row.Upstream] > 0 {
-			s.allowed = row.Held
+		if known {
+			// The broker may have another version of the document; this router's own bounds what it uses.
+			s.allowed = min(max(0, row.Held), h.limits[row.Upstream])
 		}
 	}
 	return true
