--- a/cmd/hickorywick-standin/internal/hwmeasure/overhead.go
+++ b/cmd/hickorywick-standin/internal/hwmeasure/overhead.go
@@ -143,15 +143,17 @@
 		},
 	}
 	rates := map[string]float64{}
-	held := map[string]float64{}
+	held := map[string]memory{}
 	for _, way := range ways(world) {
 		rate, cpu := tokenRate(ctx, world, way.address, source)
 		rates[way.name] = rate
 		held[way.name] = heldPerStream(ctx, way.address)
 		_, _ = fmt.Fprintf(out, "case=streaming way=%s streams=%d tokens-per-second=%.0f process-cores=%.2f\n", way.name, overheadStreams, rate, cpu)
 	}
-	_, err = fmt.Fprintf(out, "case=streaming fewer-tokens-percent=%.2f\ncase=idle-streams streams=%d kilobytes-per-stream=%.1f\n",
-		100*(1-rates["router"]/rates["direct"]), idleStreams, (held["router"]-held["direct"])/1000)
+	heap := (held["router"].heap - held["direct"].heap) / 1000
+	stacks := (held["router"].stacks - held["direct"].stacks) / 1000
+	_, err = fmt.Fprintf(out, "case=streaming fewer-tokens-percent=%.2f\ncase=idle-streams streams=%d kilobytes-per-stream=%.1f heap=%.1f stacks=%.1f\n",
+		100*(1-rates["router"]/rates["direct"]), idleStreams, heap+stacks, heap, stacks)
 	return trace.Wrap(err)
 }
 
@@ -181,8 +183,14 @@
 	return float64(books.Tokens(begin, end)) / end.Sub(begin).Seconds(), cores
 }
 
+// memory is what a process holds, in bytes.
+type memory struct {
+	heap   float64
+	stacks float64
+}
+
 // heldPerStream returns the heap and stacks per open stream.
-func heldPerStream(ctx context.Context, address string) float64 {
+func heldPerStream(ctx context.Context, address string) memory {
 	before := inUse()
 	ctx, cancel := context.WithTimeout(ctx, overheadLength/2)
 	defer cancel()
@@ -201,12 +209,23 @@
 	<-ctx.Done()
 	after := inUse()
 	_ = hwtask.Join(running)
-	return (after - before) / idleStreams
+	return memory{
+		heap:   (after.heap - before.heap) / idleStreams,
+		stacks: (after.stacks - before.stacks) / idleStreams,
+	}
 }
 
-func inUse() float64 {
+// collections is how many collections it takes until pooled buffers and the stacks of ended goroutines are free.
+const collections = 3
+
+func inUse() memory {
+	for range collections {
+		runtime.GC()
+	}
 	var m runtime.MemStats
-	runtime.GC()
 	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc + m.StackInuse)
+	return memory{
+		heap:   float64(m.HeapAlloc),
+		stacks: float64(m.StackInuse),
+	}
 }
--- a/cmd/hickorywick-standin/internal/hwmeasure/run.go
+++ b/cmd/hickorywick-standin/internal/hwmeasure/run.go
@@ -28,13 +28,13 @@
 	Name         string
 	QueueTimeout time.Duration
 	// Cold begins the load while the fleet starts.
-	Cold   bool
-	Warmup       time.Duration
-	Length       time.Duration
-	Sources      func(size Size) []hwload.Source
-	Events       []Event
-	Figures      func(r *Result) []Figure
-	Policies     []Policy
+	Cold     bool
+	Warmup   time.Duration
+	Length   time.Duration
+	Sources  func(size Size) []hwload.Source
+	Events   []Event
+	Figures  func(r *Result) []Figure
+	Policies []Policy
 }
 
 // Figure is one line of the result.
--- a/cmd/hickorywickctl/internal/hwquery/burn.go
+++ b/cmd/hickorywickctl/internal/hwquery/burn.go
@@ -2,25 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
-	"text/tabwriter"
+	"strconv"
 
 	"github.com/gravitational/trace"
 
 	"github.com/hickorywick/hickorywick/lib/hwburn"
 )
 
-// Output is how a report is written.
-type Output string
-
-// The outputs of reports.
-const (
-	OutputTable Output = "table"
-	OutputJSON  Output = "json"
-)
-
 // Burn prints how fast each objective uses up its error budget, over all asked routers.
 func Burn(ctx context.Context, out io.Writer, operators Operators, output Output) error {
 	var rows []hwburn.Row
@@ -36,19 +25,21 @@
 		return trace.Wrap(err)
 	}
 	verdicts := hwburn.Judge(merged)
-	if output == OutputJSON {
-		return trace.Wrap(json.NewEncoder(out).Encode(verdicts))
+	grid := grid{
+		columns: []string{"account", "pool", "requests in 6h", "budget left", "burn 5m", "1h", "30m", "6h", "p95", "p99", "pages"},
 	}
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "account\tpool\trequests in 6h\tbudget left\tburn 5m\t1h\t30m\t6h\tp95\tp99\tpages")
 	for _, v := range verdicts {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.0f %%\t%.1f\t%.1f\t%.1f\t%.1f\t%d ms\t%d ms\t%s\n", v.Account, v.Pool, v.Requests, 100*v.Remaining,
-			v.ShortRates[0], v.LongRates[0], v.ShortRates[1], v.LongRates[1], v.P95Millis, v.P99Millis, why(v))
+		grid.add(v.Account, v.Pool, strconv.FormatInt(v.Requests, 10), percent(v.Remaining), rate(v.ShortRates[0]), rate(v.LongRates[0]),
+			rate(v.ShortRates[1]), rate(v.LongRates[1]), millis(v.P95Millis), millis(v.P99Millis), whyPages(v))
 	}
-	return trace.Wrap(w.Flush())
+	return grid.print(out, output, verdicts)
 }
 
-func why(v hwburn.Verdict) string {
+func rate(burn float64) string { return strconv.FormatFloat(burn, 'f', 1, 64) }
+
+func millis(span int64) string { return strconv.FormatInt(span, 10) + " ms" }
+
+func whyPages(v hwburn.Verdict) string {
 	if !v.Pages {
 		return "no"
 	}
--- a/cmd/hickorywickctl/internal/hwquery/query.go
+++ b/cmd/hickorywickctl/internal/hwquery/query.go
@@ -128,7 +128,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return trace.ConnectionProblem(nil, "%s answered %s with status %d", address, path, response.StatusCode)
+		return statusError(address, path, response.StatusCode)
 	}
 	return trace.Wrap(json.NewDecoder(response.Body).Decode(into))
 }
--- a/cmd/hickorywickctl/main.go
+++ b/cmd/hickorywickctl/main.go
@@ -26,17 +26,19 @@
 	OperatorKey  string        `env:"HICKORYWICK_OPERATOR_KEY" help:"Key for the operators' listeners."`
 	Author       string        `env:"HICKORYWICK_AUTHOR,USER" default:"operator" help:"Name that stands beside a written version."`
 
-	Validate        validateCommand `cmd:"" help:"Query: check a document file and print every fault."`
-	Diff            diffCommand     `cmd:"" help:"Query: print what a document file would change."`
-	Show            showCommand     `cmd:"" help:"Query: print the document in force."`
-	History         historyCommand  `cmd:"" help:"Query: print the versions of an environment."`
-	Status          statusCommand   `cmd:"" help:"Query: print instances, versions in force, brokers and slots."`
-	Fairness        fairnessCommand `cmd:"" help:"Query: print service by account and the gap now."`
-	Report          reportCommand   `cmd:"" help:"Query: reports for operators and finance."`
-	Put             putCommand      `cmd:"" help:"Command: store a document file as the next version of its environment."`
-	Promote         promoteCommand  `cmd:"" help:"Command: make one environment's document the next version of another."`
-	Order           orderCommand    `cmd:"" help:"Command: bring an upstream to a model in a version, under the orderers' lease."`
-	RollbackForward rollbackCommand `cmd:"" help:"Command: make an earlier version's document the next version."`
+	Validate        validateCommand  `cmd:"" help:"Query: check a document file and print every fault."`
+	Diff            diffCommand      `cmd:"" help:"Query: print what a document file would change."`
+	Show            showCommand      `cmd:"" help:"Query: print the document in force."`
+	History         historyCommand   `cmd:"" help:"Query: print the versions of an environment."`
+	Status          statusCommand    `cmd:"" help:"Query: print instances, versions in force, brokers and slots."`
+	Fairness        fairnessCommand  `cmd:"" help:"Query: print service by account and the gap now."`
+	Upstreams       upstreamsCommand `cmd:"" help:"Query: print each upstream's slots, speed and health over the asked routers."`
+	Explain         explainCommand   `cmd:"" help:"Query: print why a request waited, where it went and how it ended."`
+	Report          reportCommand    `cmd:"" help:"Query: reports for operators and finance."`
+	Put             putCommand       `cmd:"" help:"Command: store a document file as the next version of its environment."`
+	Promote         promoteCommand   `cmd:"" help:"Command: make one environment's document the next version of another."`
+	Order           orderCommand     `cmd:"" help:"Command: bring an upstream to a model in a version, under the orderers' lease."`
+	RollbackForward rollbackCommand  `cmd:"" help:"Command: make an earlier version's document the next version."`
 }
 
 func (a arguments) store() hwstore.Store {
@@ -106,17 +108,93 @@
 	return hwquery.Fairness(ctx, os.Stdout, a.operators())
 }
 
-type reportCommand struct {
-	Burn burnCommand `cmd:"" help:"How fast each service-level objective uses up its error budget."`
+type outputFlag struct {
+	Output string `default:"table" enum:"table,json,csv" help:"Format: table, json or csv."`
+}
+
+func (o outputFlag) output() hwquery.Output { return hwquery.Output(o.Output) }
+
+type upstreamsCommand struct{ outputFlag }
+
+// Run prints the upstreams.
+func (c upstreamsCommand) Run(ctx context.Context, a *arguments) error {
+	return hwquery.Upstreams(ctx, os.Stdout, a.operators(), c.output())
+}
+
+type explainCommand struct {
+	outputFlag
+	Request string `arg:"" help:"The request's id: the header X-Request-Id of its answer."`
 }
 
-type burnCommand struct {
-	Output string `default:"table" enum:"table,json" help:"Format: table or json."`
+// Run explains the request.
+func (c explainCommand) Run(ctx context.Context, a *arguments) error {
+	return hwquery.Explain(ctx, os.Stdout, a.operators(), c.Request, c.output())
 }
 
+type reportCommand struct {
+	Burn     burnCommand     `cmd:"" help:"How fast each service-level objective uses up its error budget."`
+	Usage    usageCommand    `cmd:"" help:"What each client account used of each pool, in cost units."`
+	Forecast forecastCommand `cmd:"" help:"What each client account will probably use in a month, against its share."`
+}
+
+type burnCommand struct{ outputFlag }
+
 // Run prints the report.
 func (c burnCommand) Run(ctx context.Context, a *arguments) error {
-	return hwquery.Burn(ctx, os.Stdout, a.operators(), hwquery.Output(c.Output))
+	return hwquery.Burn(ctx, os.Stdout, a.operators(), c.output())
+}
+
+type usageCommand struct {
+	outputFlag
+	environmentFlag
+	From   time.Time `format:"2006-01-02T15" help:"First hour in UTC, such as 2026-12-01T00; the beginning of the month if absent."`
+	To     time.Time `format:"2006-01-02T15" help:"Hour in UTC that ends the span; the present hour is the last one if absent."`
+	ByHour bool      `help:"One line an hour, account and pool."`
+}
+
+type environmentFlag struct {
+	Environment string `default:"production" help:"Environment whose usage is meant."`
+}
+
+// Run prints the usage.
+func (c usageCommand) Run(ctx context.Context, a *arguments) error {
+	now := time.Now()
+	span := hwquery.Span{
+		From: c.From,
+		To:   c.To,
+	}
+	if span.From.IsZero() {
+		span.From = monthOf(now, 0)
+	}
+	if span.To.IsZero() {
+		span.To = now
+	}
+	return hwquery.Usage(ctx, now, os.Stdout, a.store(), c.Environment, span, c.ByHour, c.output())
+}
+
+type forecastCommand struct {
+	outputFlag
+	environmentFlag
+	Month time.Time `format:"2006-01" help:"Month in UTC, such as 2027-01; the next one if absent."`
+}
+
+// Run prints the forecast.
+func (c forecastCommand) Run(ctx context.Context, a *arguments) error {
+	now := time.Now()
+	month := c.Month
+	if month.IsZero() {
+		month = monthOf(now, 1)
+	}
+	return hwquery.Predict(ctx, now, os.Stdout, a.store(), c.Environment, hwquery.Span{
+		From: month,
+		To:   monthOf(month, 1),
+	}, c.output())
+}
+
+// monthOf returns the beginning of the month that lies a number of months after a time.
+func monthOf(at time.Time, after int) time.Time {
+	year, month, _ := at.UTC().Date()
+	return time.Date(year, month+time.Month(after), 1, 0, 0, 0, 0, time.UTC)
 }
 
 type putCommand struct{ fileArgument }
--- a/lib/hwdispatch/messages.go
+++ b/lib/hwdispatch/messages.go
@@ -81,6 +81,36 @@
 	Aim float64
 }
 
+// Outlook is what a request that has to wait finds.
+type Outlook struct {
+	// Ahead is how many requests of the account waited already.
+	Ahead int `json:"ahead"`
+	// Held and InUse are the slots of this router.
+	Held  int `json:"held"`
+	InUse int `json:"in-use"`
+	// Running is how many requests of the account run here, Aim how many the broker meant it to have.
+	Running int     `json:"running"`
+	Aim     float64 `json:"aim"`
+	// Long tells that the request is in the lane for long work.
+	Long bool `json:"long"`
+	// Counter is the account's counter in cost units per share; First is the account whose turn it is.
+	Counter float64 `json:"counter"`
+	First   string  `json:"first"`
+}
+
+// UpstreamStatus is an upstream's state as this router sees it.
+type UpstreamStatus struct {
+	Upstream string `json:"upstream"`
+	Zone     string `json:"zone"`
+	Held     int    `json:"held"`
+	InUse    int    `json:"in-use"`
+	Slow     bool   `json:"slow"`
+	Down     bool   `json:"down"`
+	Draining bool   `json:"draining"`
+	// UnitsPerSecond is the observed speed of one request in cost units a second; 0 is no observation.
+	UnitsPerSecond float64 `json:"units-per-second"`
+}
+
 // Status is the pool's state at this router.
 type Status struct {
 	Pool     string
@@ -89,4 +119,6 @@
 	Leased   bool
 	Accounts []AccountStatus
 	Slow     []string
+	// Upstreams are in the document's order.
+	Upstreams []UpstreamStatus
 }
--- a/lib/hwdispatch/report.go
+++ b/lib/hwdispatch/report.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/hickorywick/hickorywick/lib/hwdocument"
 	"github.com/hickorywick/hickorywick/lib/hwerror"
 	"github.com/hickorywick/hickorywick/lib/hwshare"
 	"github.com/hickorywick/hickorywick/lib/hwslot"
@@ -112,9 +113,47 @@
 		})
 	}
 	for _, u := range d.pool.Upstreams {
-		if d.detector.Slow(u.Address) {
+		row := d.upstream(u)
+		if row.Slow {
 			status.Slow = append(status.Slow, u.Address)
 		}
+		status.Upstreams = append(status.Upstreams, row)
 	}
 	return status
 }
+
+func (d *Dispatcher) upstream(u hwdocument.Upstream) UpstreamStatus {
+	held, inUse := d.holder.At(u.Address)
+	row := UpstreamStatus{
+		Upstream: u.Address,
+		Zone:     u.Zone,
+		Held:     held,
+		InUse:    inUse,
+		Slow:     d.detector.Slow(u.Address),
+		Down:     d.health.Down(u.Address),
+		Draining: u.Draining,
+	}
+	if perUnit := d.detector.SecondsPerUnit(u.Address); perUnit > 0 {
+		row.UnitsPerSecond = 1 / perUnit
+	}
+	return row
+}
+
+// Outlook says what a request that has just been queued finds.
+func (d *Dispatcher) Outlook(now time.Time, request Request) Outlook {
+	a := d.account(request.Account)
+	held, inUse := d.holder.Held()
+	outlook := Outlook{
+		Ahead:   max(0, d.queue.Waiting(request.Account)-1),
+		Held:    held,
+		InUse:   inUse,
+		Running: a.running,
+		Aim:     a.aim,
+		Long:    d.lane(d.estimate(request)) == hwshare.Long,
+		Counter: d.counters.Value(request.Account),
+	}
+	if names := d.byCounter(now); len(names) > 0 {
+		outlook.First = names[0]
+	}
+	return outlook
+}
--- a/lib/hwevent/catalogue.go
+++ b/lib/hwevent/catalogue.go
@@ -31,5 +31,6 @@
 	UpstreamRanAgain   = register(1705, Info, "upstream-retry", "A repeatable request was sent to another upstream.")
 	OrderPlaced        = register(1706, Info, "order-placed", "An order to an upstream ended; the line says how.")
 	InstanceListStale  = register(1801, Warn, "instance-list-stale", "The list of instances could not be read; the last one stays in use.")
+	UsageNotStored     = register(1802, Warn, "usage-not-stored", "Usage by hour could not be added to the store; it is tried again with the next batch.")
 	OperatorUnknown    = register(1901, Warn, "operator-refused", "A call to the operators' listener carried no valid key.")
 )
--- a/lib/hwintake/call.go
+++ b/lib/hwintake/call.go
@@ -15,9 +15,12 @@
 	"github.com/hickorywick/hickorywick/lib/hwdocument"
 	"github.com/hickorywick/hickorywick/lib/hwerror"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwtask"
 )
 
-// Call is a checked request of a client account.
+// Call is a checked request of a client account. Nobody changes it once the intake has handed it over.
+//
+// It is passed by reference: copies of it in the frames between the listener and the relay of a stream would push the stack of every open stream beyond eight kilobytes, to sixteen.
 type Call struct {
 	ID      string
 	Account hwdocument.Account
@@ -51,7 +54,7 @@
 	// Document returns the document in force, or nil before the first one.
 	Document() *hwdocument.Document
 	// Serve runs a call and writes its answer, or the refusal, to the writer.
-	Serve(ctx context.Context, call Call, writer http.ResponseWriter)
+	Serve(ctx context.Context, call *Call, writer http.ResponseWriter)
 }
 
 // Limits bound what a caller may send.
@@ -101,23 +104,32 @@
 	Prompt              json.RawMessage `json:"prompt"`
 }
 
-// modelCall checks a completion request.
-func modelCall(document *hwdocument.Document, account hwdocument.Account, call Call) (Call, *hwerror.Refusal) {
+// decode reads a completion request in a goroutine of its own. The decoder needs a deep stack; on the goroutine that serves the caller it would stay for as long as the answer streams.
+func decode(body []byte) (modelRequest, error) {
 	var request modelRequest
-	decoder := json.NewDecoder(bytes.NewReader(call.Body))
-	if err := decoder.Decode(&request); err != nil {
-		return Call{}, refuse(hwerror.KindMalformed, "the body is not a JSON completion request")
+	done := hwtask.Start(context.Background(), func(context.Context) error {
+		return json.NewDecoder(bytes.NewReader(body)).Decode(&request)
+	})
+	err := <-done
+	return request, err
+}
+
+// modelCall checks a completion request.
+func modelCall(document *hwdocument.Document, account hwdocument.Account, call *Call) (*Call, *hwerror.Refusal) {
+	request, err := decode(call.Body)
+	if err != nil {
+		return nil, refuse(hwerror.KindMalformed, "the body is not a JSON completion request")
 	}
 	prompt := request.Prompt
 	if strings.HasSuffix(call.Path, "/chat/completions") {
 		prompt = request.Messages
 	}
 	if request.Model == "" || len(prompt) == 0 {
-		return Call{}, refuse(hwerror.KindMalformed, "the request names no model or no prompt")
+		return nil, refuse(hwerror.KindMalformed, "the request names no model or no prompt")
 	}
 	pool, known := document.PoolOfModel(request.Model)
 	if !known || !account.MayReach(pool.Name) {
-		return Call{}, refuse(hwerror.KindUnknownModel, "the model does not exist or is not open to this account")
+		return nil, refuse(hwerror.KindUnknownModel, "the model does not exist or is not open to this account")
 	}
 	call.Pool = pool
 	call.Stream = request.Stream
@@ -131,19 +143,19 @@
 }
 
 // serviceCall checks a call of a plain service.
-func serviceCall(document *hwdocument.Document, account hwdocument.Account, call Call) (Call, *hwerror.Refusal) {
+func serviceCall(document *hwdocument.Document, account hwdocument.Account, call *Call) (*Call, *hwerror.Refusal) {
 	name, rest, _ := strings.Cut(strings.TrimPrefix(call.Path, servicePrefix), "/")
 	service, known := document.Service(name)
 	if !known || !account.MayReach(service.Pool) {
-		return Call{}, refuse(hwerror.KindUnknownRoute, "the service does not exist or is not open to this account")
+		return nil, refuse(hwerror.KindUnknownRoute, "the service does not exist or is not open to this account")
 	}
 	path, query, _ := strings.Cut("/"+rest, "?")
 	route, pathKnown, methodKnown := service.Route(call.Method, path)
 	switch {
 	case !pathKnown:
-		return Call{}, refuse(hwerror.KindUnknownRoute, "the service has no such route")
+		return nil, refuse(hwerror.KindUnknownRoute, "the service has no such route")
 	case !methodKnown:
-		return Call{}, refuse(hwerror.KindMethodNotAllowed, "the route does not take this method")
+		return nil, refuse(hwerror.KindMethodNotAllowed, "the route does not take this method")
 	}
 	pool, _ := document.Pool(service.Pool)
 	call.Pool = pool
--- a/lib/hwintake/handler.go
+++ b/lib/hwintake/handler.go
@@ -38,47 +38,55 @@
 
 // ServeHTTP checks a request and runs it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The checks are a function of their own, so that their frame is gone while the answer streams.
+	if call := h.admit(w, r); call != nil {
+		h.gateway.Serve(r.Context(), call, w)
+	}
+}
+
+// admit returns the call to run, or nil when the request has been answered already.
+func (h *Handler) admit(w http.ResponseWriter, r *http.Request) *Call {
 	id := requestID(r)
 	w.Header().Set(RequestHeader, id)
 	document := h.gateway.Document()
 	if document == nil {
 		WriteRefusal(w, refuse(hwerror.KindNotReady, "no document is in force yet").WithRetryAfter(time.Second))
-		return
+		return nil
 	}
 	account, known := document.Authenticate(bearer(r))
 	if !known {
 		WriteRefusal(w, refuse(hwerror.KindUnknownKey, "the key belongs to no account"))
-		return
+		return nil
 	}
 	if r.URL.Path == modelsPath && r.Method == http.MethodGet {
 		writeModels(w, document, account)
-		return
+		return nil
 	}
 	call, refusal := h.check(document, account, id, w, r)
 	if refusal != nil {
 		WriteRefusal(w, refusal)
-		return
+		return nil
 	}
-	h.gateway.Serve(r.Context(), call, w)
+	return call
 }
 
-func (h *Handler) check(document *hwdocument.Document, account hwdocument.Account, id string, w http.ResponseWriter, r *http.Request) (Call, *hwerror.Refusal) {
+func (h *Handler) check(document *hwdocument.Document, account hwdocument.Account, id string, w http.ResponseWriter, r *http.Request) (*Call, *hwerror.Refusal) {
 	model := r.URL.Path == chatPath || r.URL.Path == textPath
 	if !model && !strings.HasPrefix(r.URL.Path, servicePrefix) {
-		return Call{}, refuse(hwerror.KindUnknownRoute, "this path is not served")
+		return nil, refuse(hwerror.KindUnknownRoute, "this path is not served")
 	}
 	if model && r.Method != http.MethodPost {
-		return Call{}, refuse(hwerror.KindMethodNotAllowed, "completions are asked for with POST")
+		return nil, refuse(hwerror.KindMethodNotAllowed, "completions are asked for with POST")
 	}
 	key := r.Header.Get(IdempotencyHeader)
 	if len(key) > longestName {
-		return Call{}, refuse(hwerror.KindMalformed, "the idempotency key is longer than 200 bytes")
+		return nil, refuse(hwerror.KindMalformed, "the idempotency key is longer than 200 bytes")
 	}
 	body, refusal := readBody(w, r, h.limits.BodyBytes)
 	if refusal != nil {
-		return Call{}, refusal
+		return nil, refusal
 	}
-	call := Call{
+	call := &Call{
 		ID:       id,
 		Account:  account,
 		Method:   r.Method,
--- /dev/null
+++ b/lib/hwonce/fuzz_test.go
@@ -0,0 +1,38 @@
+package hwonce_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorywick/hickorywick/lib/hwonce"
+)
+
+// FuzzDecodePage reads any stored value: what can be read survives another round through the store.
+func FuzzDecodePage(f *testing.F) {
+	page, err := hwonce.Page{
+		Sequence: 4,
+	}.With([]hwonce.Record{{
+		Key:     hwonce.HashKey("brewer", "order-1"),
+		Attempt: 9,
+		At:      time.UnixMilli(1_700_000_000_000),
+		Outcome: hwonce.Ran,
+		Status:  200,
+	}}).Encode()
+	require.NoError(f, err)
+	f.Add(page)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		page, err := hwonce.DecodePage(data)
+		if err != nil {
+			return
+		}
+		encoded, err := page.Encode()
+		require.NoError(t, err)
+		again, err := hwonce.DecodePage(encoded)
+		require.NoError(t, err)
+		assert.Equal(t, page, again)
+	})
+}
--- a/lib/hwrouter/document.go
+++ b/lib/hwrouter/document.go
@@ -182,6 +182,7 @@
 		if !known {
 			// Requests in flight end on the pool they hold; nothing new reaches it.
 			p.stop()
+			r.usage.retire(p)
 			delete(r.pools, name)
 			delete(r.brokers, name)
 			continue
--- a/lib/hwrouter/metrics.go
+++ b/lib/hwrouter/metrics.go
@@ -21,6 +21,7 @@
 	resumes         *expvar.Int
 	requests        *expvar.Int
 	streaming       *expvar.Int
+	usageFailures   *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -37,6 +38,7 @@
 	m.resumes = m.number("resumed-streams")
 	m.requests = m.number("requests")
 	m.streaming = m.number("streams-open")
+	m.usageFailures = m.number("usage-store-failures")
 	return m
 }
 
--- a/lib/hwrouter/once.go
+++ b/lib/hwrouter/once.go
@@ -334,7 +334,7 @@
 	attempt uint64
 }
 
-func (r *Router) intention(call hwintake.Call) *intention {
+func (r *Router) intention(call *hwintake.Call) *intention {
 	return &intention{
 		router:  r,
 		key:     hwonce.HashKey(call.Account.Name, call.Key),
--- a/lib/hwrouter/operators.go
+++ b/lib/hwrouter/operators.go
@@ -102,6 +102,7 @@
 	mux.Handle("GET /reports/burn", r.operatorsOnly(func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, r.Burn(time.Now()))
 	}))
+	mux.Handle("GET /requests/{request}", r.operatorsOnly(r.explainHandler))
 	mux.Handle("POST /orders", r.operatorsOnly(r.orderHandler))
 	return mux
 }
--- a/lib/hwrouter/pool.go
+++ b/lib/hwrouter/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwdispatch"
@@ -12,6 +13,8 @@
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwretry"
 	"github.com/hickorywick/hickorywick/lib/hwslot"
+	"github.com/hickorywick/hickorywick/lib/hwtrail"
+	"github.com/hickorywick/hickorywick/lib/hwusage"
 )
 
 // decision is what a waiting request is told: an upstream, or why there is none.
@@ -23,6 +26,8 @@
 // pool is the shared table of one pool: the dispatcher and the requests that wait for its decisions.
 type pool struct {
 	name string
+	// life tells pools of one name apart.
+	life uint64
 	// changed asks for a report soon.
 	changed chan struct{}
 	// stop ends the pool's goroutines when the document drops the pool.
@@ -48,10 +53,14 @@
 	randomStream  = 0x9e3779b97f4a7c15
 )
 
+// lives counts the pools of this process.
+var lives atomic.Uint64
+
 func newPool(now time.Time, settings Settings, document *hwdocument.Document, spec hwdocument.Pool, members []string) *pool {
 	source := rand.NewPCG(settings.Boot, hwslot.Weight(spec.Name, settings.Instance)^randomStream)
 	return &pool{
 		name:    spec.Name,
+		life:    lives.Add(1),
 		changed: make(chan struct{}, 1),
 		waiters: map[string]chan decision{},
 		budget: hwretry.NewBudget(now, hwretry.BudgetSettings{
@@ -76,19 +85,28 @@
 // catchUp bounds what an account may make good after a partition: the largest cost of a few requests.
 func catchUp(spec hwdocument.Pool) float64 { return catchUpFactor * spec.LargestCost }
 
-// acquire waits until the request may start at an upstream.
-func (p *pool) acquire(ctx context.Context, now time.Time, request hwdispatch.Request) (string, *hwerror.Refusal) {
+// acquire waits until the request may start at an upstream. The wait says what the request found, and is nil if it started at once.
+func (p *pool) acquire(ctx context.Context, now time.Time, request hwdispatch.Request) (string, *hwtrail.Wait, *hwerror.Refusal) {
 	told := make(chan decision, 1)
 	p.lock.Lock()
 	p.waiters[request.ID] = told
 	p.apply(p.dispatcher.Enqueue(now, request))
+	var wait *hwtrail.Wait
+	if _, waits := p.waiters[request.ID]; waits {
+		wait = &hwtrail.Wait{
+			Began:   now,
+			Outlook: p.dispatcher.Outlook(now, request),
+		}
+	}
 	p.lock.Unlock()
 	select {
 	case d := <-told:
-		return settle(d)
+		upstream, refusal := settle(d)
+		return upstream, wait, refusal
 	case <-ctx.Done():
 	}
-	return p.withdraw(request, told)
+	upstream, refusal := p.withdraw(request, told)
+	return upstream, wait, refusal
 }
 
 // withdraw takes back a request whose caller is gone. A start that was decided in the meantime is given back.
@@ -222,6 +240,26 @@
 	return p.dispatcher.Status()
 }
 
+// totals returns the service of every account.
+func (p *pool) totals() []hwusage.Total {
+	var totals []hwusage.Total
+	for _, a := range p.status().Accounts {
+		totals = append(totals, hwusage.Total{
+			Pool:    p.name,
+			Life:    p.life,
+			Account: a.Account,
+			Units:   a.Service,
+		})
+	}
+	return totals
+}
+
+func (p *pool) idle() bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.dispatcher.Idle()
+}
+
 // newBroker returns the broker of a pool for an instance that has just been chosen.
 func newBroker(now time.Time, settings Settings, listen time.Duration, document *hwdocument.Document, spec hwdocument.Pool, members []string) *hwslot.Broker {
 	broker := hwslot.NewBroker(now, hwslot.BrokerSettings{
--- a/lib/hwrouter/router.go
+++ b/lib/hwrouter/router.go
@@ -76,6 +76,8 @@
 	owners     owners
 	quarantine *quarantine
 	objectives objectives
+	usage      *usage
+	trails     *trails
 	// background runs short tasks that no caller waits for.
 	background *group
 
@@ -121,6 +123,8 @@
 			Slowest: settings.Times.Heartbeat,
 		}),
 		quarantine: newQuarantine(),
+		trails:     newTrails(),
+		usage:      newUsage(time.Now(), settings),
 		table: hwmember.New(hwmember.Settings{
 			ProbeEvery: settings.Times.ProbeEvery,
 			SuspectFor: settings.Times.SuspectFor,
@@ -182,6 +186,7 @@
 	r.own(r.gossip)
 	if r.store != nil {
 		r.own(r.followDocument)
+		r.own(r.recordUsage)
 	}
 	var failure error
 	select {
@@ -229,6 +234,7 @@
 	}
 	r.background.wait()
 	r.handBack(ctx)
+	r.closeUsage(ctx)
 	r.cancel()
 	return trace.NewAggregate(failures...)
 }
--- a/lib/hwrouter/serve.go
+++ b/lib/hwrouter/serve.go
@@ -31,7 +31,7 @@
 // delivery is the state of one request on its way through the router.
 type delivery struct {
 	router *Router
-	call   hwintake.Call
+	call   *hwintake.Call
 	pool   *pool
 	writer http.ResponseWriter
 	// fingerprint names the request among those that crash upstreams.
@@ -61,10 +61,12 @@
 	status   int
 	// resume tells that the next attempt continues the answer.
 	resume bool
+	// trail is what operators can ask about the request afterwards.
+	trail trail
 }
 
 // Serve runs a call from its wait for a slot to the last byte of its answer.
-func (r *Router) Serve(ctx context.Context, call hwintake.Call, writer http.ResponseWriter) {
+func (r *Router) Serve(ctx context.Context, call *hwintake.Call, writer http.ResponseWriter) {
 	r.metrics.requests.Add(1)
 	d := &delivery{
 		router:      r,
@@ -80,10 +82,15 @@
 	}
 	d.pool.earn(time.Now())
 	refusal := r.quarantine.refusal(time.Now(), d.fingerprint)
-	if refusal == nil {
+	switch {
+	case refusal != nil:
+	case call.Key == "" || call.Repeatable:
+		refusal = d.run(ctx)
+	default:
 		refusal = d.once(ctx)
 	}
 	d.count(refusal)
+	r.trails.keep(d, refusal)
 	if refusal != nil {
 		d.refuse(refusal)
 		return
@@ -92,11 +99,8 @@
 	r.metrics.outcomes.Add(string(hwerror.Ran), 1)
 }
 
-// once runs a keyed request that must not be repeated under its record; anything else runs at once.
+// once runs a keyed request that must not be repeated under its record.
 func (d *delivery) once(ctx context.Context) *hwerror.Refusal {
-	if d.call.Key == "" || d.call.Repeatable {
-		return d.run(ctx)
-	}
 	intention := d.router.intention(d.call)
 	decision, kept := intention.begin(ctx)
 	if decision.Verdict == hwonce.Unavailable {
@@ -133,11 +137,14 @@
 	for {
 		d.attempts++
 		id := d.call.ID + "." + strconv.Itoa(d.attempts) + "." + hwintake.NewID()[:8]
-		upstream, refusal := d.pool.acquire(ctx, time.Now(), d.request(id, deadline))
+		upstream, wait, refusal := d.pool.acquire(ctx, time.Now(), d.request(id, deadline))
+		d.trail.waited(time.Now(), wait)
 		if refusal != nil {
 			return d.afterHandOver(refusal)
 		}
+		began := time.Now()
 		failure := d.attempt(ctx, id, upstream)
+		d.trail.attempted(began, time.Now(), upstream, failure)
 		if failure == nil {
 			return nil
 		}
@@ -362,6 +369,8 @@
 		d.firstByte = time.Now()
 		d.writer.WriteHeader(answer.Status)
 		d.cost = d.call.PromptTokens * d.call.Pool.PromptWeight
+		// The head goes out before the first event: written from deep within the stream it would double the stack of every open stream.
+		d.flush()
 	}
 	return answer.Events(largestEvent, func(event sse.Event) error {
 		d.events++
@@ -401,10 +410,14 @@
 	if _, err := d.writer.Write([]byte(b.String())); err != nil {
 		return err
 	}
+	d.flush()
+	return nil
+}
+
+func (d *delivery) flush() {
 	if flusher, can := d.writer.(http.Flusher); can {
 		flusher.Flush()
 	}
-	return nil
 }
 
 type usageAnswer struct {
--- a/lib/hwstore/etcd.go
+++ b/lib/hwstore/etcd.go
@@ -152,7 +152,21 @@
 	if err := e.call(ctx, "/v3/kv/range", request, &response); err != nil {
 		return Value{}, trace.Wrap(err)
 	}
-	return valueOf(key, response), nil
+	value := valueOf(key, response)
+	if value.Revision <= 0 && len(response.Kvs) > 0 {
+		return Value{}, unstated("get", "revision")
+	}
+	return value, nil
+}
+
+// unstated is the error of an answer that cannot be relied on: the call may have taken effect.
+func unstated(call, lacks string) error {
+	return trace.Wrap(&AmbiguousError{
+		Call: call,
+		Cause: &AnswerError{
+			Lacks: lacks,
+		},
+	})
 }
 
 func valueOf(key string, response rangeResponse) Value {
@@ -211,6 +225,9 @@
 	if err := e.call(ctx, "/v3/kv/txn", request, &response); err != nil {
 		return 0, trace.Wrap(err)
 	}
+	if response.Succeeded && response.Header.Revision <= 0 {
+		return 0, unstated("put", "revision")
+	}
 	if response.Succeeded {
 		return int64(response.Header.Revision), nil
 	}
@@ -233,6 +250,10 @@
 	if err := e.call(ctx, "/v3/lease/grant", request, &response); err != nil {
 		return NoLease, trace.Wrap(err)
 	}
+	// A lease without a name would store keys that never expire.
+	if LeaseID(response.ID) == NoLease {
+		return NoLease, unstated("lease", "lease")
+	}
 	return LeaseID(response.ID), nil
 }
 
--- /dev/null
+++ b/lib/hwstore/fuzz_test.go
@@ -0,0 +1,65 @@
+package hwstore_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/hickorywick/hickorywick/lib/hwstore"
+)
+
+// fixedAnswers is a store whose every answer is the same.
+type fixedAnswers struct {
+	body atomic.Pointer[[]byte]
+}
+
+// ServeHTTP answers.
+func (f *fixedAnswers) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write(*f.body.Load())
+}
+
+// FuzzAnswers lets the store answer anything. A call ends with a typed error or with a value that the answer states: a missing key has no bytes, a written one has a revision, and a lease that was opened can be named.
+func FuzzAnswers(f *testing.F) {
+	f.Add([]byte(`{"header":{"revision":"7"},"kvs":[{"key":"aw==","value":"dg==","mod_revision":"5"}]}`))
+	f.Add([]byte(`{"header":{"revision":"7"},"succeeded":true}`))
+	f.Add([]byte(`{"header":{"revision":7},"succeeded":false,"responses":[{"response_range":{"kvs":[{"key":"aw==","value":"dg==","mod_revision":5}]}}]}`))
+	f.Add([]byte(`{"ID":"123","TTL":"10"}`))
+	f.Add([]byte(`{"result":{"ID":"123","TTL":"10"}}`))
+	f.Add([]byte(`{"result":{"created":true}}` + "\n" + `{"result":{"events":[{"type":"DELETE","kv":{"key":"aw==","mod_revision":"9"}}]}}`))
+	f.Add([]byte(`{"result":{"canceled":true,"compact_revision":"99"}}`))
+	f.Add([]byte(`{"error":{"grpc_code":5,"message":"etcdserver: requested lease not found"}}`))
+	f.Add([]byte(`[]`))
+	f.Add([]byte(`{"result":null,"kvs":[{}],"responses":[{}]}`))
+	answers := &fixedAnswers{}
+	server := httptest.NewServer(answers)
+	f.Cleanup(server.Close)
+	store := hwstore.NewEtcd(server.URL, time.Second, &http.Client{})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		answers.body.Store(&body)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		value, err := store.Get(ctx, "k")
+		if err == nil && value.Revision == 0 {
+			assert.Empty(t, value.Bytes, "a key without a revision does not exist")
+		}
+		if revision, err := store.Put(ctx, "k", []byte("v"), 1, hwstore.NoLease); err == nil {
+			assert.Positive(t, revision, "a write has a revision")
+		}
+		_ = store.Delete(ctx, "k", 1)
+		if lease, err := store.Grant(ctx, time.Second); err == nil {
+			assert.NotEqual(t, hwstore.NoLease, lease, "a lease has a name")
+		}
+		if left, err := store.KeepAlive(ctx, 1); err == nil {
+			assert.Positive(t, left)
+		}
+		_ = store.Revoke(ctx, 1)
+		_ = store.Watch(ctx, "k", 1, func(change hwstore.Change) {
+			assert.Positive(t, change.Value.Revision, "a change has a revision")
+		})
+	})
+}
--- a/lib/hwstore/store.go
+++ b/lib/hwstore/store.go
@@ -71,6 +71,14 @@
 // Unwrap returns the cause.
 func (e *AmbiguousError) Unwrap() error { return e.Cause }
 
+// AnswerError says that an answer lacks what every answer to its call states.
+type AnswerError struct {
+	Lacks string
+}
+
+// Error names what is missing.
+func (e *AnswerError) Error() string { return "the answer states no " + e.Lacks }
+
 // ConflictError says that the key had another revision; Current is the value found, when the store told it.
 type ConflictError struct {
 	Key     string
--- a/lib/hwstore/watch.go
+++ b/lib/hwstore/watch.go
@@ -66,6 +66,9 @@
 			}
 		}
 		for _, event := range response.Result.Events {
+			if event.Kv.ModRevision <= 0 {
+				return unstated("watch", "revision")
+			}
 			changed(Change{
 				Value: Value{
 					Key:      key,
--- /dev/null
+++ b/lib/hwtrail/trail_test.go
@@ -0,0 +1,49 @@
+package hwtrail_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hickorywick/hickorywick/lib/hwtrail"
+)
+
+// TestTheLastTrailsAreFound adds requests, some of them twice, and looks for each of the last ones.
+func TestTheLastTrailsAreFound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 8).Draw(t, "size")
+		ids := rapid.SliceOf(rapid.IntRange(0, 12)).Draw(t, "requests")
+		ring := hwtrail.NewRing(size)
+		for i, id := range ids {
+			ring.Add(hwtrail.Trail{
+				Request: fmt.Sprint(id),
+				Units:   float64(i),
+			})
+		}
+		latest := map[int]int{}
+		for i, id := range ids[max(0, len(ids)-size):] {
+			latest[id] = max(0, len(ids)-size) + i
+		}
+		for id := range 13 {
+			trail, found := ring.Find(fmt.Sprint(id))
+			at, want := latest[id]
+			assert.Equal(t, want, found)
+			if want {
+				assert.InDelta(t, float64(at), trail.Units, 0)
+			}
+		}
+	})
+}
+
+func ExampleRing() {
+	ring := hwtrail.NewRing(1000)
+	ring.Add(hwtrail.Trail{
+		Request: "7f3a",
+		End:     "answered",
+	})
+	trail, found := ring.Find("7f3a")
+	fmt.Println(trail.End, found)
+	// Output: answered true
+}
--- a/lib/hwupstream/client.go
+++ b/lib/hwupstream/client.go
@@ -113,6 +113,8 @@
 	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 3
 	largestHead       = 64 << 10
+	// connectionBuffer is small because most open connections carry a stream of small events; larger pieces pass it by.
+	connectionBuffer = 1 << 10
 )
 
 func (c *Client) transport(upstream string, repeatable bool) *http.Transport {
@@ -139,6 +141,8 @@
 		DisableKeepAlives:      !repeatable,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: largestHead,
+		ReadBufferSize:         connectionBuffer,
+		WriteBufferSize:        connectionBuffer,
 		// A non-nil empty map keeps the library from changing the protocol.
 		TLSNextProto: map[string]func(string, *tls.Conn) http.RoundTripper{},
 	}
--- /dev/null
+++ b/lib/hwupstream/fuzz_test.go
@@ -0,0 +1,63 @@
+package hwupstream_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/hickorywick/hickorywick/lib/hwupstream"
+)
+
+// FuzzEvents lets an upstream stream anything. A stream is whole only if its last event is the end mark, and an upstream that sends rubbish fails alone: the next attempt at it is judged by its own answer.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("data: {\"choices\":[]}\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("id: 1\nevent: error\ndata: a\ndata: b\n\n"))
+	f.Add([]byte("data: [DONE]"))
+	f.Add([]byte("data: [DONE]\n\ndata: more\n\n"))
+	f.Add([]byte(": comment\n\nretry: x\n\n\r\n\r"))
+	f.Add(append([]byte("data: "), bytes.Repeat([]byte("x"), 5000)...))
+	var body atomic.Pointer[[]byte]
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set(hwupstream.AttemptHeader, r.Header.Get(hwupstream.AttemptHeader))
+		_, _ = w.Write(*body.Load())
+	}))
+	f.Cleanup(server.Close)
+	client := hwupstream.NewClient(time.Second)
+	f.Cleanup(client.Close)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		body.Store(&data)
+		answer, err := client.Do(context.Background(), hwupstream.Attempt{
+			ID:         "attempt",
+			Upstream:   strings.TrimPrefix(server.URL, "http://"),
+			Method:     http.MethodGet,
+			Path:       "/",
+			Header:     http.Header{},
+			Repeatable: true,
+			Silence:    5 * time.Second,
+		})
+		require.NoError(t, err)
+		defer answer.Close()
+		last := ""
+		err = answer.Events(4096, func(event sse.Event) error {
+			last = event.Data
+			return nil
+		})
+		if err == nil {
+			assert.Equal(t, hwupstream.EndMark, last)
+			return
+		}
+		var failure *hwupstream.Error
+		require.ErrorAs(t, err, &failure)
+		assert.True(t, failure.HandedOver, "an answer that began proves that bytes were handed over")
+	})
+}
--- /dev/null
+++ b/lib/hwusage/report.go
@@ -0,0 +1,103 @@
+package hwusage
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Line is an account's usage of a pool over a span, in cost units, and its part of the pool's usage.
+type Line struct {
+	Pool    string  `json:"pool"`
+	Account string  `json:"account"`
+	Units   float64 `json:"units"`
+	Part    float64 `json:"part"`
+}
+
+// Sum adds up the usage of pages by pool and account.
+func Sum(pages []Page) []Line {
+	units := map[rowKey]float64{}
+	pools := map[string]float64{}
+	for _, page := range pages {
+		for _, row := range page.Rows {
+			units[rowKey{
+				pool:    row.Pool,
+				account: row.Account,
+			}] += row.Units
+			pools[row.Pool] += row.Units
+		}
+	}
+	lines := make([]Line, 0, len(units))
+	for _, row := range rowsOf(units) {
+		lines = append(lines, Line{
+			Pool:    row.Pool,
+			Account: row.Account,
+			Units:   row.Units,
+			Part:    row.Units / pools[row.Pool],
+		})
+	}
+	return lines
+}
+
+// Missing estimates the usage that may be missing from pages, in cost units; see Page.Missing.
+func Missing(now time.Time, pages []Page) float64 {
+	byHour := map[time.Time]Page{}
+	for _, page := range pages {
+		byHour[page.Hour.UTC()] = page
+	}
+	missing := 0.0
+	for _, page := range pages {
+		missing += page.Missing(now, byHour[page.Hour.UTC().Add(-time.Hour)])
+	}
+	return missing
+}
+
+// AccountSeries is the usage of a pool by an account over time.
+type AccountSeries struct {
+	Pool    string
+	Account string
+	Series  Series
+}
+
+// SeriesOf returns a series for each account and pool from the first page with usage until the end, which is a whole hour. Hours without a page count as without usage.
+func SeriesOf(pages []Page, end time.Time) []AccountSeries {
+	first := end
+	for _, page := range pages {
+		if len(page.Rows) > 0 && page.Hour.Before(first) {
+			first = page.Hour
+		}
+	}
+	hours := max(0, int(end.Sub(first).Hours()))
+	byKey := map[rowKey][]float64{}
+	for _, page := range pages {
+		hour := int(page.Hour.Sub(first).Hours())
+		if hour < 0 || hour >= hours {
+			continue
+		}
+		for _, row := range page.Rows {
+			key := rowKey{
+				pool:    row.Pool,
+				account: row.Account,
+			}
+			if byKey[key] == nil {
+				byKey[key] = make([]float64, hours)
+			}
+			byKey[key][hour] += row.Units
+		}
+	}
+	all := make([]AccountSeries, 0, len(byKey))
+	for key, units := range byKey {
+		all = append(all, AccountSeries{
+			Pool:    key.pool,
+			Account: key.account,
+			Series: Series{
+				From:  first,
+				Units: units,
+			},
+		})
+	}
+	slices.SortFunc(all, func(a, b AccountSeries) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Account, b.Account))
+	})
+	return all
+}
--- /dev/null
+++ b/lib/hwusage/usage_test.go
@@ -0,0 +1,460 @@
+package hwusage_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hickorywick/hickorywick/lib/hwusage"
+)
+
+var start = time.Date(2026, time.December, 1, 10, 0, 0, 0, time.UTC)
+
+func total(units float64) []hwusage.Total {
+	return []hwusage.Total{{
+		Pool:    "models",
+		Account: "brewer",
+		Units:   units,
+	}}
+}
+
+func sumOf(pages map[time.Time]hwusage.Page) float64 {
+	sum := 0.0
+	for _, page := range pages {
+		for _, row := range page.Rows {
+			sum += row.Units
+		}
+	}
+	return sum
+}
+
+// TestUsageIsCountedOnce stores the batches of several lives of several instances with lost answers, which repeat a batch, over several hours: what was observed and stored is in the pages exactly once.
+func TestUsageIsCountedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pages := map[time.Time]hwusage.Page{}
+		want := 0.0
+		for life := range rapid.IntRange(1, 4).Draw(t, "lives") {
+			origin := hwusage.Origin{
+				Instance: fmt.Sprint("router-", life%2),
+				Boot:     uint64(life),
+			}
+			now := start
+			r := hwusage.NewRecorder(now, origin)
+			used := 0.0
+			for range rapid.IntRange(1, 12).Draw(t, "steps") {
+				now = now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "minutes")) * time.Minute)
+				used += float64(rapid.IntRange(0, 100).Draw(t, "units"))
+				r.Observe(now, total(used))
+				for again := true; again; {
+					batch := r.Next(time.Minute, false)
+					next, fresh := pageOf(pages, batch.Hour).With(batch)
+					assert.True(t, fresh)
+					pages[batch.Hour] = next
+					if rapid.Bool().Draw(t, "answer lost") {
+						repeated := r.Next(time.Minute, false)
+						assert.Equal(t, batch, repeated)
+						_, fresh = pages[batch.Hour].With(repeated)
+						assert.False(t, fresh, "the page holds it already")
+					}
+					again = r.Stored()
+				}
+			}
+			want += used
+		}
+		assert.InDelta(t, want, sumOf(pages), 1e-6)
+	})
+}
+
+func pageOf(pages map[time.Time]hwusage.Page, hour time.Time) hwusage.Page {
+	page, known := pages[hour]
+	if !known {
+		page.Hour = hour
+	}
+	return page
+}
+
+func TestGrowthBelongsToItsHour(t *testing.T) {
+	r := hwusage.NewRecorder(start.Add(50*time.Minute), hwusage.Origin{
+		Instance: "router-1",
+		Boot:     1,
+	})
+	r.Observe(start.Add(59*time.Minute), total(10))
+	r.Observe(start.Add(61*time.Minute), total(14))
+	first := r.Next(time.Minute, false)
+	assert.Equal(t, start, first.Hour)
+	assert.InDelta(t, 10, first.Rows[0].Units, 1e-9)
+	assert.Equal(t, start.Add(time.Hour), first.Through, "an hour that ended is covered to its end")
+	require.True(t, r.Stored())
+	second := r.Next(time.Minute, true)
+	assert.Equal(t, start.Add(time.Hour), second.Hour)
+	assert.InDelta(t, 4, second.Rows[0].Units, 1e-9)
+	assert.True(t, second.Closed)
+	assert.False(t, r.Stored())
+}
+
+// TestAPoolThatReturns counts a pool that left the document and ends what it runs beside its successor of the same name.
+func TestAPoolThatReturns(t *testing.T) {
+	r := hwusage.NewRecorder(start, hwusage.Origin{})
+	totals := func(old, successor float64) []hwusage.Total {
+		both := append(total(old), total(successor)...)
+		both[1].Life = 1
+		return both
+	}
+	r.Observe(start.Add(time.Minute), totals(10, 0))
+	r.Observe(start.Add(2*time.Minute), totals(12, 3))
+	r.Forget(0)
+	r.Observe(start.Add(3*time.Minute), totals(0, 4))
+	assert.InDelta(t, 16, r.Next(time.Minute, false).Rows[0].Units, 1e-9)
+}
+
+func TestMissing(t *testing.T) {
+	contribution := func(through time.Duration, closed bool) hwusage.Contribution {
+		return hwusage.Contribution{
+			Origin: hwusage.Origin{
+				Instance: "router-1",
+				Boot:     1,
+			},
+			Units:    600,
+			From:     start,
+			Through:  start.Add(through),
+			Interval: 2 * time.Minute,
+			Closed:   closed,
+		}
+	}
+	cases := []struct {
+		name   string
+		page   []hwusage.Contribution
+		before []hwusage.Contribution
+		now    time.Duration
+		want   float64
+	}{
+		{
+			name: "covered to the end",
+			page: []hwusage.Contribution{contribution(time.Hour, false)},
+			now:  2 * time.Hour,
+			want: 0,
+		},
+		{
+			name: "stopped in order",
+			page: []hwusage.Contribution{contribution(10*time.Minute, true)},
+			now:  2 * time.Hour,
+			want: 0,
+		},
+		{
+			name: "died after ten minutes at 60 a minute, at most two minutes before its next batch",
+			page: []hwusage.Contribution{contribution(10*time.Minute, false)},
+			now:  2 * time.Hour,
+			want: 120,
+		},
+		{
+			name: "the hour runs and a batch is due",
+			page: []hwusage.Contribution{contribution(10*time.Minute, false)},
+			now:  11 * time.Minute,
+			want: 60,
+		},
+		{
+			name:   "died before its first batch of the hour",
+			before: []hwusage.Contribution{contribution(0, false)},
+			now:    2 * time.Hour,
+			want:   120,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			page := hwusage.Page{
+				Hour:    start,
+				Origins: c.page,
+			}
+			before := hwusage.Page{
+				Hour: start.Add(-time.Hour),
+			}
+			for _, b := range c.before {
+				b.From = start.Add(-10 * time.Minute)
+				before.Origins = append(before.Origins, b)
+			}
+			assert.InDelta(t, c.want, page.Missing(start.Add(c.now), before), 1e-6)
+		})
+	}
+}
+
+func TestIntervalGrowsMoreSlowlyThanTheFleet(t *testing.T) {
+	cases := []struct {
+		instances int
+		want      time.Duration
+	}{
+		{
+			instances: 1,
+			want:      time.Minute,
+		},
+		{
+			instances: 5,
+			want:      time.Minute,
+		},
+		{
+			instances: 20,
+			want:      2 * time.Minute,
+		},
+		{
+			instances: 360,
+			want:      509 * time.Second,
+		},
+	}
+	for _, c := range cases {
+		assert.Equal(t, c.want, hwusage.Interval(c.instances))
+	}
+}
+
+func TestAPageSurvivesTheStore(t *testing.T) {
+	page, _ := hwusage.Page{
+		Hour: start,
+	}.With(hwusage.Batch{
+		Origin: hwusage.Origin{
+			Instance: "router-1",
+			Boot:     7,
+		},
+		Sequence: 3,
+		Hour:     start,
+		Rows: []hwusage.Row{{
+			Pool:    "models",
+			Account: "brewer",
+			Units:   1.5,
+		}},
+		From:    start,
+		Through: start.Add(time.Minute),
+	})
+	read, err := hwusage.DecodePage(start, page.Encode())
+	require.NoError(t, err)
+	assert.Equal(t, page, read)
+	_, err = hwusage.DecodePage(start, []byte("{"))
+	var unreadable *hwusage.PageError
+	assert.ErrorAs(t, err, &unreadable)
+}
+
+// FuzzDecodePage reads any stored value: what can be read takes a batch and survives another round through the store.
+func FuzzDecodePage(f *testing.F) {
+	f.Add([]byte(`{"hour":"2026-12-01T10:00:00Z","rows":[{"pool":"models","account":"brewer","units":3}],"origins":[{"instance":"router-1","boot":1,"sequence":2}]}`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		page, err := hwusage.DecodePage(start, data)
+		if err != nil {
+			return
+		}
+		page, fresh := page.With(hwusage.Batch{
+			Origin: hwusage.Origin{
+				Instance: "router-9",
+			},
+			Sequence: 1 << 62,
+			Rows: []hwusage.Row{{
+				Pool:    "models",
+				Account: "brewer",
+				Units:   1,
+			}},
+		})
+		again, err := hwusage.DecodePage(start, page.Encode())
+		assert.NoError(t, err)
+		assert.Equal(t, fresh, len(again.Origins) > 0 && fresh)
+		assert.Len(t, again.Rows, len(page.Rows))
+	})
+}
+
+// BenchmarkPage adds a batch to a page as large as the design size makes it, and reports its bytes.
+func BenchmarkPage(b *testing.B) {
+	sizes := []struct {
+		name                       string
+		accounts, pools, instances int
+	}{
+		{
+			name:      "today",
+			accounts:  16,
+			pools:     2,
+			instances: 5,
+		},
+		{
+			name:      "design",
+			accounts:  240,
+			pools:     16,
+			instances: 387,
+		},
+	}
+	for _, size := range sizes {
+		b.Run(size.name, func(b *testing.B) {
+			batch := hwusage.Batch{
+				From:     start,
+				Through:  start.Add(time.Minute),
+				Interval: time.Minute,
+			}
+			for account := range size.accounts {
+				for pool := range size.pools {
+					batch.Rows = append(batch.Rows, hwusage.Row{
+						Pool:    fmt.Sprintf("pool-%02d", pool),
+						Account: fmt.Sprintf("account-%03d", account),
+						Units:   123456.75,
+					})
+				}
+			}
+			page := hwusage.Page{
+				Hour: start,
+			}
+			for instance := range size.instances {
+				batch.Origin.Instance = fmt.Sprintf("router-%03d", instance)
+				batch.Origin.Boot = 1_764_800_000_000_000_000
+				batch.Sequence++
+				page, _ = page.With(batch)
+			}
+			for b.Loop() {
+				batch.Sequence++
+				read, err := hwusage.DecodePage(start, page.Encode())
+				require.NoError(b, err)
+				page, _ = read.With(batch)
+			}
+			b.ReportMetric(float64(len(page.Encode())), "bytes")
+		})
+	}
+}
+
+// The targets of the back-test.
+const (
+	backTestSeries   = 300
+	smallestCoverage = 0.7
+	largestError     = 0.1
+)
+
+// TestForecastsOfGeneratedSeasons makes series with a trend, a day, a week, and noise by hour and by week, forecasts the four weeks after eight or twelve known ones, and compares with what was generated.
+func TestForecastsOfGeneratedSeasons(t *testing.T) {
+	for _, weeks := range []int{8, 12} {
+		random := rand.New(rand.NewPCG(1, uint64(weeks)))
+		covered, errors := 0, 0.0
+		for range backTestSeries {
+			units := season(random, weeks+4)
+			known := weeks * 7 * 24
+			series := hwusage.Series{
+				From:  start,
+				Units: units[:known],
+			}
+			from := start.Add(time.Duration(known) * time.Hour)
+			forecast := hwusage.Predict(series, from, from.Add(4*7*24*time.Hour))
+			truth := 0.0
+			for _, used := range units[known:] {
+				truth += used
+			}
+			if forecast.Low <= truth && truth <= forecast.High {
+				covered++
+			}
+			errors += math.Abs(forecast.Units-truth) / truth
+		}
+		t.Logf("weeks=%d coverage=%.3f mean-error=%.3f", weeks, float64(covered)/backTestSeries, errors/backTestSeries)
+		assert.GreaterOrEqual(t, float64(covered)/backTestSeries, smallestCoverage)
+		assert.LessOrEqual(t, errors/backTestSeries, largestError)
+	}
+}
+
+// season generates an account's usage: up to 3 % growth or decline a week, days and weekends that differ by account, 30 % noise an hour and 6 % a week.
+func season(random *rand.Rand, weeks int) []float64 {
+	base := 100 + 900*random.Float64()
+	trend := 0.06 * (random.Float64() - 0.5)
+	day := 0.8 * random.Float64()
+	weekend := 0.2 + 0.8*random.Float64()
+	var units []float64
+	for week := range weeks {
+		level := base * math.Exp(trend*float64(week)+0.06*random.NormFloat64())
+		for hour := range 7 * 24 {
+			used := level * (1 + day*math.Sin(2*math.Pi*float64(hour%24)/24)) * math.Exp(0.3*random.NormFloat64())
+			if hour/24 >= 5 {
+				used *= weekend
+			}
+			units = append(units, used)
+		}
+	}
+	return units
+}
+
+func TestForecastFromLittle(t *testing.T) {
+	cases := []struct {
+		name  string
+		hours int
+		want  hwusage.Forecast
+	}{
+		{
+			name: "nothing",
+		},
+		{
+			name:  "a day",
+			hours: 24,
+			want: hwusage.Forecast{
+				Units: 1680,
+				Low:   840,
+				High:  2520,
+			},
+		},
+		{
+			name:  "a week",
+			hours: 7 * 24,
+			want: hwusage.Forecast{
+				Units: 1680,
+				Low:   840,
+				High:  2520,
+				Weeks: 1,
+			},
+		},
+		{
+			name:  "two weeks alike",
+			hours: 2 * 7 * 24,
+			want: hwusage.Forecast{
+				Units: 1680,
+				Low:   1680,
+				High:  1680,
+				Weeks: 2,
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			series := hwusage.Series{
+				From: start,
+			}
+			for range c.hours {
+				series.Units = append(series.Units, 10)
+			}
+			from := start.Add(time.Duration(c.hours) * time.Hour)
+			got := hwusage.Predict(series, from, from.Add(7*24*time.Hour))
+			assert.InDelta(t, c.want.Units, got.Units, 1e-6)
+			assert.InDelta(t, c.want.Low, got.Low, 1e-6)
+			assert.InDelta(t, c.want.High, got.High, 1e-6)
+			assert.Equal(t, c.want.Weeks, got.Weeks)
+		})
+	}
+}
+
+func ExampleSum() {
+	recorder := hwusage.NewRecorder(start, hwusage.Origin{
+		Instance: "router-1",
+		Boot:     1,
+	})
+	recorder.Observe(start.Add(time.Minute), []hwusage.Total{
+		{
+			Pool:    "models",
+			Account: "brewer",
+			Units:   30,
+		},
+		{
+			Pool:    "models",
+			Account: "franchise",
+			Units:   90,
+		},
+	})
+	page, _ := hwusage.Page{
+		Hour: start,
+	}.With(recorder.Next(time.Minute, false))
+	for _, line := range hwusage.Sum([]hwusage.Page{page}) {
+		fmt.Println(line.Pool, line.Account, line.Units, line.Part)
+	}
+	// Output:
+	// models brewer 30 0.25
+	// models franchise 90 0.75
+}
--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -36,14 +36,16 @@
 wait_for curl -fs http://127.0.0.1:19101/readyz
 wait_for curl -fs http://127.0.0.1:19102/readyz
 
-curl -fsS http://127.0.0.1:19001/v1/chat/completions -H 'Authorization: Bearer cellar-key' \
+curl -fsS http://127.0.0.1:19001/v1/chat/completions -H 'Authorization: Bearer cellar-key' -H 'X-Request-Id: first-ale' \
   -d '{"model":"standin-model","stream":true,"messages":[{"role":"user","content":"which ale is on?"}]}' >"$dir/stream"
 grep -q 'data: \[DONE\]' "$dir/stream"
 curl -fsS http://127.0.0.1:19002/services/desk/orders -H 'Authorization: Bearer bar-key' \
   -H 'Idempotency-Key: order-1' -d 'two tokens' | grep -q 'done POST order-1'
 "$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 status
 "$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 fairness
-"$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 report burn | grep 'cellar-stewards.* 100 %'
+"$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 report burn --output csv | grep 'cellar-stewards.*,100.0 %'
+"$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 upstreams | grep -q '127.0.0.1:17002'
+"$bin/hickorywickctl" --operators 127.0.0.1:19101 --operators 127.0.0.1:19102 explain first-ale | grep -q 'ended: answered, execution ran'
 "$bin/hickorywickctl" --operators 127.0.0.1:19101 order --upstream 127.0.0.1:17002 --model standin-model --version 2 | grep -q 'ordered state'
 sed 's/share: 2/share: 3/' examples/trial.yaml >"$dir/changed.yaml"
 "$bin/hickorywickctl" diff "$dir/changed.yaml" | grep -q '+ account cellar-stewards'
@@ -61,4 +63,8 @@
 wait "$request"
 grep -q 'data: \[DONE\]' "$dir/long"
 wait "${processes[1]}"
+
+# The router that stopped has brought its usage to the store.
+"$bin/hickorywickctl" report usage --environment trial --output csv | grep 'cellar-stewards'
+"$bin/hickorywickctl" report forecast --environment trial --output csv | grep 'pool,account'
 echo "smoke: passed"
