Callers that send slowly or stop reading are given up

A caller that stops reading blocked the write of its stream for ever, and its slot with it; the upstream's attempt was cancelled for silence, but the slot never came back. A caller that sent half a body kept a goroutine for ever. Change: each write to a caller has the pool's progress timeout; a caller that takes nothing for so long is gone, nothing is tried again for it, and its slot is free. A body must arrive within 30 s; idle connections end after 2 minutes. After a body that did not arrive the deadline stays: the server reads what is left of it before it answers, and would wait again. Conclusion: a deadline is needed on both sides of a relay.

--- a/cmd/hickorywick-standin/internal/hwscript/stage.go
+++ b/cmd/hickorywick-standin/internal/hwscript/stage.go
@@ -117,16 +117,20 @@
 	return l.lines.String()
 }
 
-// times are those of the product but for a short drain, since no balancer has to notice.
-func times() hwrouter.Times {
+// times are those of the product but for a short drain, since no balancer has to notice. The setting slow-sender is the longest time in ms that a caller may take to send a request.
+func times(a Arguments) hwrouter.Times {
 	t := hwrouter.DefaultTimes()
+	if slow := a.Number("slow-sender", 0); slow > 0 {
+		t.HeaderTimeout = time.Duration(slow) * time.Millisecond
+		t.BodyTimeout = time.Duration(slow) * time.Millisecond
+	}
 	t.DrainGrace = 50 * time.Millisecond
 	t.ListEvery = 200 * time.Millisecond
 	t.StoreRecheck = 2 * time.Second
 	return t
 }
 
-// NewStage starts a world. Settings: routers, engines, services, slots, accounts, list-lag in ms.
+// NewStage starts a world. Settings: routers, engines, services, slots, accounts, list-lag and slow-sender in ms, token-us.
 func NewStage(a Arguments) (*Stage, error) {
 	s := &Stage{
 		log:    &logBook{},
@@ -151,7 +155,7 @@
 		Engines:     a.Number("engines", 3),
 		EngineSlots: a.Number("slots", 8),
 		Engine: hwfakeengine.Settings{
-			TokenTime:  5 * time.Millisecond,
+			TokenTime:  time.Duration(a.Number("token-us", 5000)) * time.Microsecond,
 			FirstToken: 5 * time.Millisecond,
 		},
 		Services:     a.Number("services", 2),
@@ -160,7 +164,7 @@
 		Coordination: hwrouter.Leased,
 		Gain:         hwrouter.DefaultGain,
 		Lanes:        hwdispatch.SplitLanes,
-		Times:        times(),
+		Times:        times(a),
 		ListLag:      time.Duration(a.Number("list-lag", 0)) * time.Millisecond,
 		QueueTimeout: 10 * time.Second,
 		Resumes:      a.Settings["resumes"] != "no",
--- a/lib/hwintake/call.go
+++ b/lib/hwintake/call.go
@@ -60,6 +60,8 @@
 // Limits bound what a caller may send.
 type Limits struct {
 	BodyBytes int64
+	// BodyTime is how long the body may take to arrive.
+	BodyTime time.Duration
 }
 
 // IdempotencyHeader carries the caller's key for a request that must run at most once.
@@ -81,16 +83,22 @@
 	return hwerror.Refuse(kind, hwevent.RequestRefused.Number, message)
 }
 
-// readBody reads the body within the limit.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *hwerror.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+// readBody reads the body within the limits.
+func readBody(w http.ResponseWriter, r *http.Request, limits Limits) ([]byte, *hwerror.Refusal) {
+	control := http.NewResponseController(w)
+	// A writer without deadlines, as in tests, has no slow senders.
+	_ = control.SetReadDeadline(time.Now().Add(limits.BodyTime))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.BodyBytes))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return nil, refuse(hwerror.KindTooLarge, "the body is larger than this service accepts")
 	case err != nil:
-		return nil, refuse(hwerror.KindMalformed, "the body could not be read to its end")
+		// The deadline stays: the server reads what is left of the body before it answers.
+		w.Header().Set("Connection", "close")
+		return nil, refuse(hwerror.KindMalformed, "the body could not be read to its end in time")
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/lib/hwintake/handler.go
+++ b/lib/hwintake/handler.go
@@ -82,7 +82,7 @@
 	if len(key) > longestName {
 		return nil, refuse(hwerror.KindMalformed, "the idempotency key is longer than 200 bytes")
 	}
-	body, refusal := readBody(w, r, h.limits.BodyBytes)
+	body, refusal := readBody(w, r, h.limits)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/lib/hwrouter/router.go
+++ b/lib/hwrouter/router.go
@@ -206,6 +206,7 @@
 	)
 	server.HandlePrefix("/", handler)
 	server.ReadHeaderTimeout = r.settings.Times.HeaderTimeout
+	server.IdleTimeout = r.settings.Times.IdleTimeout
 	server.MaxHeaderBytes = largestHeader
 	return server
 }
@@ -260,6 +261,7 @@
 func (r *Router) callersHandler() http.Handler {
 	handler := hwintake.New(r, hwintake.Limits{
 		BodyBytes: r.settings.BodyBytes,
+		BodyTime:  r.settings.Times.BodyTimeout,
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		if r.stopping.Load() {
--- a/lib/hwrouter/serve.go
+++ b/lib/hwrouter/serve.go
@@ -61,6 +61,10 @@
 	status   int
 	// resume tells that the next attempt continues the answer.
 	resume bool
+	// callerGone tells that the caller stopped taking its answer.
+	callerGone bool
+	// control sets the deadlines of writes to the caller.
+	control *http.ResponseController
 	// trail is what operators can ask about the request afterwards.
 	trail trail
 }
@@ -73,9 +77,12 @@
 		call:        call,
 		pool:        r.pool(call.Pool.Name),
 		writer:      writer,
+		control:     http.NewResponseController(writer),
 		began:       time.Now(),
 		fingerprint: hwquarantine.FingerprintOf(call.Account.Name, call.Path, call.BodyHash),
 	}
+	// The connection may carry another request later.
+	defer func() { _ = d.control.SetWriteDeadline(time.Time{}) }()
 	if d.pool == nil {
 		d.refuse(hwerror.Refuse(hwerror.KindUnknownModel, hwevent.RequestRefused.Number, "the pool is not in force any more"))
 		return
@@ -190,7 +197,7 @@
 		HandedOver: failure.HandedOver,
 		Answered:   d.headed,
 		Resumable:  d.call.Pool.ResumesStreams && d.lastEventID != "",
-		CallerGone: ctx.Err() != nil,
+		CallerGone: ctx.Err() != nil || d.callerGone,
 	})
 	if d.router.quarantine.refusal(time.Now(), d.fingerprint) != nil {
 		return false
@@ -216,7 +223,7 @@
 	number := hwevent.OutcomeUnknown.Number
 	message := "the upstream did not give a whole answer; it is not known whether the request ran"
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, d.callerGone:
 		kind = hwerror.KindCallerGone
 	case !failure.HandedOver && !d.handedOver:
 		execution = hwerror.NotRun
@@ -353,7 +360,15 @@
 	d.headed = true
 	d.firstByte = time.Now()
 	d.writer.WriteHeader(answer.Status)
+	return d.toCaller(body)
+}
+
+// toCaller writes to the caller. A caller that takes nothing for as long as an upstream may be silent is gone: its slot would be stuck.
+func (d *delivery) toCaller(body []byte) error {
+	// Writers without deadlines exist in tests only.
+	_ = d.control.SetWriteDeadline(time.Now().Add(d.call.Pool.ProgressTimeout.Std()))
 	if _, err := d.writer.Write(body); err != nil {
+		d.callerGone = true
 		return err
 	}
 	return nil
@@ -370,7 +385,9 @@
 		d.writer.WriteHeader(answer.Status)
 		d.cost = d.call.PromptTokens * d.call.Pool.PromptWeight
 		// The head goes out before the first event: written from deep within the stream it would double the stack of every open stream.
-		d.flush()
+		if err := d.flush(); err != nil {
+			return err
+		}
 	}
 	return answer.Events(largestEvent, func(event sse.Event) error {
 		d.events++
@@ -407,17 +424,21 @@
 		b.WriteByte('\n')
 	}
 	b.WriteByte('\n')
-	if _, err := d.writer.Write([]byte(b.String())); err != nil {
+	if err := d.toCaller([]byte(b.String())); err != nil {
 		return err
 	}
-	d.flush()
-	return nil
+	return d.flush()
 }
 
-func (d *delivery) flush() {
-	if flusher, can := d.writer.(http.Flusher); can {
-		flusher.Flush()
+// flush sends what was written. A writer that cannot flush sends it at the end.
+func (d *delivery) flush() error {
+	_ = d.control.SetWriteDeadline(time.Now().Add(d.call.Pool.ProgressTimeout.Std()))
+	err := d.control.Flush()
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		d.callerGone = true
+		return err
 	}
+	return nil
 }
 
 type usageAnswer struct {
--- a/lib/hwrouter/settings.go
+++ b/lib/hwrouter/settings.go
@@ -60,6 +60,10 @@
 	StoreRecheck  time.Duration
 	DrainGrace    time.Duration
 	HeaderTimeout time.Duration
+	// BodyTimeout is how long a caller may take to send a request's body.
+	BodyTimeout time.Duration
+	// IdleTimeout is how long a caller's connection may stay open without a request.
+	IdleTimeout time.Duration
 }
 
 // DefaultTimes are the times for instances in one region.
@@ -76,6 +80,8 @@
 		StoreRecheck:  10 * time.Second,
 		DrainGrace:    5 * time.Second,
 		HeaderTimeout: 10 * time.Second,
+		BodyTimeout:   30 * time.Second,
+		IdleTimeout:   2 * time.Minute,
 	}
 }
 
