--- /dev/null
+++ b/cmd/hickorywick-standin/internal/hwmeasure/plot.go
@@ -0,0 +1,55 @@
+package hwmeasure
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"github.com/gravitational/trace"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 22 * vg.Centimeter
+	plotHeight = 14 * vg.Centimeter
+)
+
+// Plot draws each account's service per share over the measured part. Lines that stay together are fair service.
+func (r *Result) Plot(directory string, c Case) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s, %s, %s", c.Name, r.Size.Name, r.Policy.Name)
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "tokens per share"
+	p.Legend.Top = true
+	p.Legend.Left = true
+	for i, share := range r.Size.Shares {
+		line, err := plotter.NewLine(r.service(Account(i), share))
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		line.Color = plotutil.Color(i)
+		line.Dashes = plotutil.Dashes(i / 8)
+		p.Add(line)
+		p.Legend.Add(fmt.Sprintf("%s (%g)", Account(i), share), line)
+	}
+	name := fmt.Sprintf("%s-%s-%s.png", c.Name, r.Size.Name, r.Policy.Name)
+	return trace.Wrap(p.Save(plotWidth, plotHeight, filepath.Join(directory, name)))
+}
+
+func (r *Result) service(account string, share float64) plotter.XYs {
+	first := r.Books.Nearest(r.From)
+	var points plotter.XYs
+	for _, s := range r.Books.Samples() {
+		if s.At.Before(r.From) || s.At.After(r.To) {
+			continue
+		}
+		points = append(points, plotter.XY{
+			X: s.At.Sub(r.From).Seconds(),
+			Y: float64(s.Service[account]-first.Service[account]) / share,
+		})
+	}
+	return points
+}
--- a/cmd/hickorywick-standin/internal/hwmeasure/run.go
+++ b/cmd/hickorywick-standin/internal/hwmeasure/run.go
@@ -27,6 +27,8 @@
 type Case struct {
 	Name         string
 	QueueTimeout time.Duration
+	// Resize changes the installation for the case; nil leaves it.
+	Resize func(Size) Size
 	// Cold begins the load while the fleet starts.
 	Cold     bool
 	Warmup   time.Duration
@@ -71,12 +73,14 @@
 	To   time.Time
 	Uses []Use
 	// Marks are the moments of events.
-	Marks    map[string]time.Time
-	Note     map[string]float64
-	control  int64
-	cpu      time.Duration
-	routers  int
-	duration time.Duration
+	Marks   map[string]time.Time
+	Note    map[string]float64
+	control int64
+	cpu     time.Duration
+	// controlCPU is the processor time of all routers' control.
+	controlCPU time.Duration
+	routers    int
+	duration   time.Duration
 }
 
 // The rates at which a run is watched.
@@ -93,6 +97,9 @@
 
 // Run measures one case at one size under one policy.
 func Run(ctx context.Context, c Case, size Size, policy Policy) (*Result, error) {
+	if c.Resize != nil {
+		size = c.Resize(size)
+	}
 	world, err := hwworld.New(ctx, size.world(policy, c))
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -136,7 +143,7 @@
 	tasks = append(tasks, hwtask.Start(load, r.watch))
 	before := r.bytes()
 	cpu := processorTime()
-	var failure error
+	profile, failure := startProfile()
 	for _, event := range c.Events {
 		time.Sleep(time.Until(r.From.Add(event.At)))
 		r.Marks[event.Name] = time.Now()
@@ -148,7 +155,9 @@
 	r.control = r.bytes() - before
 	r.cpu = processorTime() - cpu
 	r.duration = time.Since(began)
-	return trace.NewAggregate(failure, hwtask.Join(tasks...))
+	var profileFailure error
+	r.controlCPU, profileFailure = profile.stop()
+	return trace.NewAggregate(failure, profileFailure, hwtask.Join(tasks...))
 }
 
 // address returns where a source's router listens; under the central policy everything goes to the one router.
@@ -224,6 +233,7 @@
 		figure("unknown", float64(r.Books.Count("", hwload.Unknown)), "1"),
 		figure("not-run", float64(r.Books.Count("", hwload.NotRun)), "1"),
 		figure("control-kilobytes-per-second-and-instance", float64(r.control)/1000/seconds/float64(r.routers), "kB/s"),
+		figure("control-percent-of-a-core-and-instance", 100*r.controlCPU.Seconds()/seconds/float64(r.routers), "%"),
 		figure("process-cores", r.cpu.Seconds()/seconds, "cores"),
 	}
 }
--- a/cmd/hickorywick-standin/internal/hwmeasure/select.go
+++ b/cmd/hickorywick-standin/internal/hwmeasure/select.go
@@ -12,6 +12,8 @@
 	Case   string
 	Policy string
 	Size   string
+	// Plots is the directory for plots of service over time; empty draws none.
+	Plots string
 }
 
 const all = "all"
@@ -33,6 +35,12 @@
 					return trace.Wrap(err)
 				}
 				Print(out, c, result)
+				if selection.Plots == "" {
+					continue
+				}
+				if err := result.Plot(selection.Plots, c); err != nil {
+					return trace.Wrap(err)
+				}
 			}
 		}
 	}
--- a/cmd/hickorywick-standin/main.go
+++ b/cmd/hickorywick-standin/main.go
@@ -32,6 +32,7 @@
 	Case   string `default:"all" help:"Case to measure, or all."`
 	Policy string `default:"all" help:"Policy to measure, or all that the case compares."`
 	Size   string `default:"tapkring" help:"Installation: tapkring, derwent or all."`
+	Plots  string `type:"existingdir" help:"Directory for plots of each account's service over time; none are drawn without it."`
 }
 
 // Run measures.
@@ -40,6 +41,7 @@
 		Case:   c.Case,
 		Policy: c.Policy,
 		Size:   c.Size,
+		Plots:  c.Plots,
 	})
 }
 
--- a/lib/hwrouter/router.go
+++ b/lib/hwrouter/router.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/pprof"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -165,7 +166,7 @@
 		hwevent.With("peers", r.listeners.Peers.Addr().String()))
 	failed := make(chan error, len(r.servers)+1)
 	for _, server := range r.servers {
-		r.own(func(context.Context) error {
+		r.begin(func(context.Context) error {
 			// A server that was closed on purpose ends without an error.
 			if err := server.Start(r.running); err != nil {
 				failed <- err
@@ -214,8 +215,23 @@
 // largestHeader bounds the headers of a request, in bytes.
 const largestHeader = 64 << 10
 
-// own starts a goroutine whose end is read when the router stops.
+// WorkLabel is the profiler's label of what a goroutine works for, and ControlWork its value for all that is not a request: reports, membership, the document, usage. A processor profile tells by it what control costs.
+const (
+	WorkLabel   = "work"
+	ControlWork = "control"
+)
+
+// own starts a goroutine that works for control.
 func (r *Router) own(work func(context.Context) error) {
+	r.begin(func(ctx context.Context) error {
+		var err error
+		pprof.Do(ctx, pprof.Labels(WorkLabel, ControlWork), func(ctx context.Context) { err = work(ctx) })
+		return err
+	})
+}
+
+// begin starts a goroutine whose end is read when the router stops.
+func (r *Router) begin(work func(context.Context) error) {
 	r.tasksLock.Lock()
 	defer r.tasksLock.Unlock()
 	r.tasks = append(r.tasks, hwtask.Start(r.running, work))
