--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 smoke: build ## The README's trial by hand, with separate processes.
 	bash scripts/smoke.sh $(GOBIN)
+	bash scripts/readme.sh
 
 measure: ## Every measurement of docs/measurements.md.
 	go run ./cmd/hickorywick-standin measure --case all
--- a/cmd/hickorywick-router/internal/hwflags/flags_test.go
+++ b/cmd/hickorywick-router/internal/hwflags/flags_test.go
@@ -65,14 +65,46 @@
 		change func(*hwflags.Flags)
 		want   string
 	}{
-		{"valid", func(*hwflags.Flags) {}, ""},
-		{"no zone", func(f *hwflags.Flags) { f.Zone = "" }, "zone must not be empty"},
-		{"store and document", func(f *hwflags.Flags) { f.Document = "x" }, "either --store or --document"},
-		{"bad address", func(f *hwflags.Flags) { f.CallersAddress = "nowhere" }, "callers-address"},
-		{"peers off loopback without a key", func(f *hwflags.Flags) { f.PeersAddress = "10.0.0.1:2" }, "shared key or certificates"},
-		{"short lease", func(f *hwflags.Flags) { f.Lease = time.Second }, "four heartbeats"},
-		{"no body", func(f *hwflags.Flags) { f.BodyBytes = 0 }, "body-bytes"},
-		{"certificate that does not exist", func(f *hwflags.Flags) { f.PeerCertificate = "missing" }, "peer-certificate"},
+		{
+			name:   "valid",
+			change: func(*hwflags.Flags) {},
+			want:   "",
+		},
+		{
+			name:   "no zone",
+			change: func(f *hwflags.Flags) { f.Zone = "" },
+			want:   "zone must not be empty",
+		},
+		{
+			name:   "store and document",
+			change: func(f *hwflags.Flags) { f.Document = "x" },
+			want:   "either --store or --document",
+		},
+		{
+			name:   "bad address",
+			change: func(f *hwflags.Flags) { f.CallersAddress = "nowhere" },
+			want:   "callers-address",
+		},
+		{
+			name:   "peers off loopback without a key",
+			change: func(f *hwflags.Flags) { f.PeersAddress = "10.0.0.1:2" },
+			want:   "shared key or certificates",
+		},
+		{
+			name:   "short lease",
+			change: func(f *hwflags.Flags) { f.Lease = time.Second },
+			want:   "four heartbeats",
+		},
+		{
+			name:   "no body",
+			change: func(f *hwflags.Flags) { f.BodyBytes = 0 },
+			want:   "body-bytes",
+		},
+		{
+			name:   "certificate that does not exist",
+			change: func(f *hwflags.Flags) { f.PeerCertificate = "missing" },
+			want:   "peer-certificate",
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/cmd/hickorywick-standin/scenarios/fencing_test.go
+++ b/cmd/hickorywick-standin/scenarios/fencing_test.go
@@ -86,7 +86,9 @@
 	engine.CheckFencing(checks)
 	h := &history{}
 	order := func(ctx context.Context, client int, version string) {
-		h.record(client, placed{version: version}, func() any {
+		h.record(client, placed{
+			version: version,
+		}, func() any {
 			router := stage.World.All()[client%3].Router
 			result := router.PlaceOrder(ctx, hwrouter.Order{
 				Upstream: engine.Server.Address(),
@@ -111,9 +113,13 @@
 		for client := 1; client <= 4; client++ {
 			others = append(others, hwtask.Start(context.Background(), func(ctx context.Context) error {
 				order(ctx, client, fmt.Sprint(round, "-", client))
-				h.record(client, placed{look: true}, func() any {
+				h.record(client, placed{
+					look: true,
+				}, func() any {
 					version, _ := engine.Ordered()
-					return placedEnd{version: version}
+					return placedEnd{
+						version: version,
+					}
 				})
 				return nil
 			}))
@@ -121,9 +127,13 @@
 		require.NoError(t, hwtask.Join(others...))
 		engine.ReleaseReads()
 		require.NoError(t, <-late)
-		h.record(5, placed{look: true}, func() any {
+		h.record(5, placed{
+			look: true,
+		}, func() any {
 			version, _ := engine.Ordered()
-			return placedEnd{version: version}
+			return placedEnd{
+				version: version,
+			}
 		})
 	}
 	return h
--- a/cmd/hickorywick-standin/scenarios/history_test.go
+++ b/cmd/hickorywick-standin/scenarios/history_test.go
@@ -117,7 +117,9 @@
 			random := rand.New(rand.NewPCG(uint64(client), 7))
 			for round := range 10 {
 				key := keys[random.IntN(len(keys))]
-				histories[key].record(client, orderCall{key: key}, func() any {
+				histories[key].record(client, orderCall{
+					key: key,
+				}, func() any {
 					return callOrder(stage, fmt.Sprintf("%d-%d", client, round), key, client%4, keyed)
 				})
 			}
@@ -134,7 +136,14 @@
 		for _, service := range stage.World.Services {
 			executed += service.Executions(key)
 		}
-		histories[key].record(99, orderCall{key: key, look: true}, func() any { return orderEnd{executed: executed} })
+		histories[key].record(99, orderCall{
+			key:  key,
+			look: true,
+		}, func() any {
+			return orderEnd{
+				executed: executed,
+			}
+		})
 	}
 	return histories
 }
@@ -145,13 +154,19 @@
 		words = append(words, "key="+key)
 	}
 	if err := stage.Begin(hwscript.Parse(words)); err != nil {
-		return orderEnd{execution: "not-run"}
+		return orderEnd{
+			execution: "not-run",
+		}
 	}
 	reply, err := stage.Reply(name)
 	if err != nil || reply.Execution == "" {
-		return orderEnd{execution: "unknown"}
+		return orderEnd{
+			execution: "unknown",
+		}
+	}
+	end := orderEnd{
+		execution: reply.Execution,
 	}
-	end := orderEnd{execution: reply.Execution}
 	if reply.Status == 200 {
 		end.body = reply.Body
 	}
@@ -236,12 +251,21 @@
 				h.record(operator, headCall{}, func() any {
 					read, err := stage.World.Current(ctx)
 					current = read
-					return headEnd{version: read.Head.Version, unknown: err != nil}
+					return headEnd{
+						version: read.Head.Version,
+						unknown: err != nil,
+					}
 				})
-				h.record(operator, headCall{write: true, from: current.Head.Version}, func() any {
+				h.record(operator, headCall{
+					write: true,
+					from:  current.Head.Version,
+				}, func() any {
 					err := stage.World.Promote(ctx, current, fmt.Sprint(operator))
 					var raced *hwworld.RacedError
-					return headEnd{won: err == nil, unknown: err != nil && !errors.As(err, &raced)}
+					return headEnd{
+						won:     err == nil,
+						unknown: err != nil && !errors.As(err, &raced),
+					}
 				})
 			}
 			return nil
--- a/lib/hwburn/burn_test.go
+++ b/lib/hwburn/burn_test.go
@@ -63,15 +63,33 @@
 		truthful bool
 		bad      int64
 	}{
-		{"in time", time.Second, true, 0},
-		{"late", time.Second + 1, true, 1},
-		{"not known whether it ran", 0, false, 1},
+		{
+			name:     "in time",
+			first:    time.Second,
+			truthful: true,
+			bad:      0,
+		},
+		{
+			name:     "late",
+			first:    time.Second + 1,
+			truthful: true,
+			bad:      1,
+		},
+		{
+			name:     "not known whether it ran",
+			first:    0,
+			truthful: false,
+			bad:      1,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			m := hwburn.NewMeter(start, objective())
 			m.Observe(start, c.first, c.truthful)
-			assert.Equal(t, hwburn.Count{Total: 1, Bad: c.bad}, m.Over(start, time.Hour))
+			assert.Equal(t, hwburn.Count{
+				Total: 1,
+				Bad:   c.bad,
+			}, m.Over(start, time.Hour))
 		})
 	}
 }
--- a/lib/hwdispatch/dispatcher_test.go
+++ b/lib/hwdispatch/dispatcher_test.go
@@ -27,7 +27,10 @@
 		LargestCost:     1000,
 	}
 	for u := range upstreams {
-		p.Upstreams = append(p.Upstreams, hwdocument.Upstream{Address: fmt.Sprintf("10.0.0.%d:80", u+1), Zone: "zone-a"})
+		p.Upstreams = append(p.Upstreams, hwdocument.Upstream{
+			Address: fmt.Sprintf("10.0.0.%d:80", u+1),
+			Zone:    "zone-a",
+		})
 	}
 	return p
 }
@@ -35,7 +38,11 @@
 func accounts(shares ...float64) []hwdocument.Account {
 	var all []hwdocument.Account
 	for i, share := range shares {
-		all = append(all, hwdocument.Account{Name: fmt.Sprintf("account-%d", i), Share: share, QueueBound: 1000})
+		all = append(all, hwdocument.Account{
+			Name:       fmt.Sprintf("account-%d", i),
+			Share:      share,
+			QueueBound: 1000,
+		})
 	}
 	return all
 }
@@ -55,7 +62,11 @@
 }
 
 func request(id, account string) hwdispatch.Request {
-	return hwdispatch.Request{ID: id, Account: account, Deadline: start.Add(time.Hour)}
+	return hwdispatch.Request{
+		ID:       id,
+		Account:  account,
+		Deadline: start.Add(time.Hour),
+	}
 }
 
 // TestServiceFollowsShares ends the running requests in the order they started. TestServiceFollowsSharesInAnyOrder ends them in any order.
@@ -100,7 +111,9 @@
 		id := running[ends]
 		running = slices.Delete(running, ends, ends+1)
 		served[owner[id]]++
-		take(d.Finish(now, id, hwdispatch.Finish{Cost: 10}))
+		take(d.Finish(now, id, hwdispatch.Finish{
+			Cost: 10,
+		}))
 	}
 	return served
 }
@@ -129,7 +142,9 @@
 	}
 	for i := range 10 {
 		now = now.Add(100 * time.Millisecond)
-		d.Finish(now, fmt.Sprint(i), hwdispatch.Finish{Cost: 10})
+		d.Finish(now, fmt.Sprint(i), hwdispatch.Finish{
+			Cost: 10,
+		})
 	}
 	hopeless := request("hopeless", "account-0")
 	hopeless.Deadline = now.Add(time.Second)
@@ -144,7 +159,10 @@
 func TestADeadUpstreamIsAvoidedAndProbed(t *testing.T) {
 	d := newDispatcher(pool(2, 4), accounts(1))
 	first := d.Enqueue(start, request("first", "account-0")).Starts[0]
-	d.Finish(start, "first", hwdispatch.Finish{Failed: true, Unreached: true})
+	d.Finish(start, "first", hwdispatch.Finish{
+		Failed:    true,
+		Unreached: true,
+	})
 	for i := range 4 {
 		id := fmt.Sprint("next-", i)
 		assert.NotEqual(t, first.Upstream, d.Enqueue(start, request(id, "account-0")).Starts[0].Upstream)
@@ -171,7 +189,9 @@
 		r := request(id, "account-0")
 		r.Hint = hint
 		d.Enqueue(now, r)
-		d.Finish(now, id, hwdispatch.Finish{Cost: cost})
+		d.Finish(now, id, hwdispatch.Finish{
+			Cost: cost,
+		})
 	}
 	for i := range 30 {
 		finish(fmt.Sprint("short-", i), 30, 20)
@@ -187,7 +207,9 @@
 		r.Hint = map[string]float64{"long": 1500, "short": 30}[id]
 		require.Empty(t, d.Enqueue(now, r).Starts)
 	}
-	starts := d.Finish(now, "busy-1", hwdispatch.Finish{Cost: 20}).Starts
+	starts := d.Finish(now, "busy-1", hwdispatch.Finish{
+		Cost: 20,
+	}).Starts
 	require.Len(t, starts, 1)
 	assert.Equal(t, "short", starts[0].ID)
 }
@@ -231,7 +253,10 @@
 				for id, upstream := range running {
 					delete(running, id)
 					inUse[upstream]--
-					apply(d.Finish(now, id, hwdispatch.Finish{Cost: 5, Failed: rapid.Bool().Draw(t, "failed")}))
+					apply(d.Finish(now, id, hwdispatch.Finish{
+						Cost:   5,
+						Failed: rapid.Bool().Draw(t, "failed"),
+					}))
 					break
 				}
 			case 3:
@@ -248,7 +273,9 @@
 		}
 		for id, upstream := range running {
 			inUse[upstream]--
-			apply(d.Finish(now, id, hwdispatch.Finish{Cost: 5}))
+			apply(d.Finish(now, id, hwdispatch.Finish{
+				Cost: 5,
+			}))
 		}
 		effects, _ := d.Tick(now.Add(time.Hour))
 		apply(effects)
@@ -293,7 +320,9 @@
 	for i := range b.N {
 		now = now.Add(10 * time.Millisecond)
 		take(d.Enqueue(now, request(fmt.Sprint(i), fmt.Sprint("account-", i%max(1, count/10)))))
-		take(d.Finish(now, running[0], hwdispatch.Finish{Cost: 240}))
+		take(d.Finish(now, running[0], hwdispatch.Finish{
+			Cost: 240,
+		}))
 		running = running[1:]
 	}
 }
--- a/lib/hwdocument/document_test.go
+++ b/lib/hwdocument/document_test.go
@@ -37,13 +37,48 @@
 		name, old, put string
 		want           string
 	}{
-		{"unknown field", "share: 2", "shares: 2", "line 5: document: field shares not found in type hwdocument.Account"},
-		{"share of zero", "share: 2", "share: 0", "line 5: accounts[0].share: must be above 0 and at most 1000000"},
-		{"address without port", "127.0.0.1:17002", "127.0.0.1", "line 20: pools[0].upstreams[0].address: must be an IP number and a port"},
-		{"address twice", "127.0.0.1:17003", "127.0.0.1:17002", "line 22: pools[0].upstreams[1].address: repeats 127.0.0.1:17002"},
-		{"pool of a service", "pool: desk", "pool: models", "services[0].pool: must name a pool of kind service"},
-		{"not a time span", "queue-timeout: 10s", "queue-timeout: soon", `"soon" is not a time span such as 30s`},
-		{"unknown account", "account: cellar-stewards", "account: nobody", "objectives[0].account: names no account of this document"},
+		{
+			name: "unknown field",
+			old:  "share: 2",
+			put:  "shares: 2",
+			want: "line 5: document: field shares not found in type hwdocument.Account",
+		},
+		{
+			name: "share of zero",
+			old:  "share: 2",
+			put:  "share: 0",
+			want: "line 5: accounts[0].share: must be above 0 and at most 1000000",
+		},
+		{
+			name: "address without port",
+			old:  "127.0.0.1:17002",
+			put:  "127.0.0.1",
+			want: "line 20: pools[0].upstreams[0].address: must be an IP number and a port",
+		},
+		{
+			name: "address twice",
+			old:  "127.0.0.1:17003",
+			put:  "127.0.0.1:17002",
+			want: "line 22: pools[0].upstreams[1].address: repeats 127.0.0.1:17002",
+		},
+		{
+			name: "pool of a service",
+			old:  "pool: desk",
+			put:  "pool: models",
+			want: "services[0].pool: must name a pool of kind service",
+		},
+		{
+			name: "not a time span",
+			old:  "queue-timeout: 10s",
+			put:  "queue-timeout: soon",
+			want: `"soon" is not a time span such as 30s`,
+		},
+		{
+			name: "unknown account",
+			old:  "account: cellar-stewards",
+			put:  "account: nobody",
+			want: "objectives[0].account: names no account of this document",
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -69,10 +104,30 @@
 		digest  string
 		want    hwdocument.Verdict
 	}{
-		{"newer", 6, "x", hwdocument.Adopt},
-		{"the same", 5, "a", hwdocument.Same},
-		{"the same version with another digest", 5, "b", hwdocument.Conflict},
-		{"older", 4, "x", hwdocument.Older},
+		{
+			name:    "newer",
+			offered: 6,
+			digest:  "x",
+			want:    hwdocument.Adopt,
+		},
+		{
+			name:    "the same",
+			offered: 5,
+			digest:  "a",
+			want:    hwdocument.Same,
+		},
+		{
+			name:    "the same version with another digest",
+			offered: 5,
+			digest:  "b",
+			want:    hwdocument.Conflict,
+		},
+		{
+			name:    "older",
+			offered: 4,
+			digest:  "x",
+			want:    hwdocument.Older,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -94,19 +149,56 @@
 func TestRoute(t *testing.T) {
 	service := hwdocument.Service{
 		Routes: []hwdocument.Route{
-			{Path: "/orders", Methods: []string{"POST"}},
-			{Path: "/orders/preview", Methods: []string{"POST"}, Idempotent: true},
+			{
+				Path:    "/orders",
+				Methods: []string{"POST"},
+			},
+			{
+				Path:       "/orders/preview",
+				Methods:    []string{"POST"},
+				Idempotent: true,
+			},
 		},
 	}
 	cases := []struct {
 		method, path             string
 		idempotent, path2, known bool
 	}{
-		{"POST", "/orders", false, true, true},
-		{"POST", "/orders/7", false, true, true},
-		{"POST", "/orders/preview", true, true, true},
-		{"GET", "/orders", false, true, false},
-		{"POST", "/ordersx", false, false, false},
+		{
+			method:     "POST",
+			path:       "/orders",
+			idempotent: false,
+			path2:      true,
+			known:      true,
+		},
+		{
+			method:     "POST",
+			path:       "/orders/7",
+			idempotent: false,
+			path2:      true,
+			known:      true,
+		},
+		{
+			method:     "POST",
+			path:       "/orders/preview",
+			idempotent: true,
+			path2:      true,
+			known:      true,
+		},
+		{
+			method:     "GET",
+			path:       "/orders",
+			idempotent: false,
+			path2:      true,
+			known:      false,
+		},
+		{
+			method:     "POST",
+			path:       "/ordersx",
+			idempotent: false,
+			path2:      false,
+			known:      false,
+		},
 	}
 	for _, c := range cases {
 		route, pathKnown, methodKnown := service.Route(c.method, c.path)
--- a/lib/hwfence/lease_test.go
+++ b/lib/hwfence/lease_test.go
@@ -13,8 +13,13 @@
 var start = time.Unix(1_700_000_000, 0)
 
 func TestDecide(t *testing.T) {
-	checking := hwfence.Order{ChecksFencing: true, Deadline: 2 * time.Second}
-	trusting := hwfence.Order{Deadline: 2 * time.Second}
+	checking := hwfence.Order{
+		ChecksFencing: true,
+		Deadline:      2 * time.Second,
+	}
+	trusting := hwfence.Order{
+		Deadline: 2 * time.Second,
+	}
 	confirmed := trusting
 	confirmed.Confirmed = true
 	cases := []struct {
@@ -23,13 +28,48 @@
 		order hwfence.Order
 		want  hwfence.Decision
 	}{
-		{"an upstream that checks, lease held", time.Second, checking, hwfence.Send},
-		{"an upstream that checks, lease over", 10 * time.Second, checking, hwfence.Drop},
-		{"the holder before may still be ordering", time.Second, confirmed, hwfence.Wait},
-		{"not confirmed for this order", 3 * time.Second, trusting, hwfence.Confirm},
-		{"confirmed for this order", 3 * time.Second, confirmed, hwfence.Send},
-		{"confirmed, but the order might outlive the lease", 9 * time.Second, confirmed, hwfence.Confirm},
-		{"paused past the lease", 11 * time.Second, confirmed, hwfence.Drop},
+		{
+			name:  "an upstream that checks, lease held",
+			after: time.Second,
+			order: checking,
+			want:  hwfence.Send,
+		},
+		{
+			name:  "an upstream that checks, lease over",
+			after: 10 * time.Second,
+			order: checking,
+			want:  hwfence.Drop,
+		},
+		{
+			name:  "the holder before may still be ordering",
+			after: time.Second,
+			order: confirmed,
+			want:  hwfence.Wait,
+		},
+		{
+			name:  "not confirmed for this order",
+			after: 3 * time.Second,
+			order: trusting,
+			want:  hwfence.Confirm,
+		},
+		{
+			name:  "confirmed for this order",
+			after: 3 * time.Second,
+			order: confirmed,
+			want:  hwfence.Send,
+		},
+		{
+			name:  "confirmed, but the order might outlive the lease",
+			after: 9 * time.Second,
+			order: confirmed,
+			want:  hwfence.Confirm,
+		},
+		{
+			name:  "paused past the lease",
+			after: 11 * time.Second,
+			order: confirmed,
+			want:  hwfence.Drop,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/lib/hwlimit/speed_test.go
+++ b/lib/hwlimit/speed_test.go
@@ -45,10 +45,26 @@
 		gaps map[string]time.Duration
 		want []string
 	}{
-		{"all alike", map[string]time.Duration{"a": normal, "b": normal, "c": normal}, nil},
-		{"one five times slower", map[string]time.Duration{"a": normal, "b": normal, "c": 5 * normal}, []string{"c"}},
-		{"one a little slower", map[string]time.Duration{"a": normal, "b": normal, "c": 3 * normal / 2}, nil},
-		{"two upstreams have no median", map[string]time.Duration{"a": normal, "b": 5 * normal}, nil},
+		{
+			name: "all alike",
+			gaps: map[string]time.Duration{"a": normal, "b": normal, "c": normal},
+			want: nil,
+		},
+		{
+			name: "one five times slower",
+			gaps: map[string]time.Duration{"a": normal, "b": normal, "c": 5 * normal},
+			want: []string{"c"},
+		},
+		{
+			name: "one a little slower",
+			gaps: map[string]time.Duration{"a": normal, "b": normal, "c": 3 * normal / 2},
+			want: nil,
+		},
+		{
+			name: "two upstreams have no median",
+			gaps: map[string]time.Duration{"a": normal, "b": 5 * normal},
+			want: nil,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/lib/hwmember/member_test.go
+++ b/lib/hwmember/member_test.go
@@ -39,7 +39,11 @@
 func list(count int) []hwmember.Listed {
 	var l []hwmember.Listed
 	for i := range count {
-		l = append(l, hwmember.Listed{Instance: name(i), Address: name(i), Zone: "zone-a"})
+		l = append(l, hwmember.Listed{
+			Instance: name(i),
+			Address:  name(i),
+			Zone:     "zone-a",
+		})
 	}
 	return l
 }
--- a/lib/hwpeer/peer_test.go
+++ b/lib/hwpeer/peer_test.go
@@ -35,18 +35,37 @@
 func counters(count int) []hwslot.CounterRow {
 	var rows []hwslot.CounterRow
 	for a := range count {
-		rows = append(rows, hwslot.CounterRow{Account: fmt.Sprintf("account-%03d", a), Counter: 123456.5, Aim: 7})
+		rows = append(rows, hwslot.CounterRow{
+			Account: fmt.Sprintf("account-%03d", a),
+			Counter: 123456.5,
+			Aim:     7,
+		})
 	}
 	return rows
 }
 
 func report(accounts, upstreams int) hwslot.Report {
-	r := hwslot.Report{Instance: "router-123", Boot: 1 << 60, Pool: "pool-12", Sequence: 1 << 20}
+	r := hwslot.Report{
+		Instance: "router-123",
+		Boot:     1 << 60,
+		Pool:     "pool-12",
+		Sequence: 1 << 20,
+	}
 	for a := range accounts {
-		r.Accounts = append(r.Accounts, hwslot.AccountRow{Account: fmt.Sprintf("account-%03d", a), Waiting: 20, Running: 7, Service: 1234567.5, Pending: 321})
+		r.Accounts = append(r.Accounts, hwslot.AccountRow{
+			Account: fmt.Sprintf("account-%03d", a),
+			Waiting: 20,
+			Running: 7,
+			Service: 1234567.5,
+			Pending: 321,
+		})
 	}
 	for u := range upstreams {
-		r.Upstreams = append(r.Upstreams, hwslot.UpstreamRow{Upstream: fmt.Sprintf("10.20.30.%d:8000", u), Held: 5, InUse: 4})
+		r.Upstreams = append(r.Upstreams, hwslot.UpstreamRow{
+			Upstream: fmt.Sprintf("10.20.30.%d:8000", u),
+			Held:     5,
+			InUse:    4,
+		})
 	}
 	return r
 }
@@ -67,12 +86,29 @@
 }
 
 func TestStrangersAreRefused(t *testing.T) {
-	address, refused := serve(t, hwpeer.Security{SharedKey: "right"})
+	address, refused := serve(t, hwpeer.Security{
+		SharedKey: "right",
+	})
 	for _, c := range []struct {
 		key  string
 		want bool
-	}{{"right", true}, {"wrong", false}, {"", false}} {
-		client := hwpeer.NewClient(hwpeer.Security{SharedKey: c.key}, time.Second, nil, &hwpeer.Traffic{})
+	}{
+		{
+			key:  "right",
+			want: true,
+		},
+		{
+			key:  "wrong",
+			want: false,
+		},
+		{
+			key:  "",
+			want: false,
+		},
+	} {
+		client := hwpeer.NewClient(hwpeer.Security{
+			SharedKey: c.key,
+		}, time.Second, nil, &hwpeer.Traffic{})
 		_, err := client.Report(context.Background(), address, hwpeer.ReportToWire(report(1, 1)))
 		assert.Equal(t, c.want, err == nil, "key %q", c.key)
 		require.NoError(t, client.Close())
@@ -96,7 +132,14 @@
 	assert.Equal(t, r.Accounts, got.Accounts)
 	assert.Equal(t, r.Upstreams, got.Upstreams)
 	assert.Equal(t, r.Sequence, got.Sequence)
-	rows := []hwmember.Row{{Instance: "a", Address: "b", Zone: "c", Boot: 1, Incarnation: 2, State: hwmember.Dead}}
+	rows := []hwmember.Row{{
+		Instance:    "a",
+		Address:     "b",
+		Zone:        "c",
+		Boot:        1,
+		Incarnation: 2,
+		State:       hwmember.Dead,
+	}}
 	assert.Equal(t, rows, hwpeer.MembersFromWire(hwpeer.MembersToWire(rows)))
 }
 
@@ -116,9 +159,13 @@
 func BenchmarkSlopeReportCall(b *testing.B) {
 	for _, accounts := range []int{1, 4, 16, 48} {
 		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
-			address, _ := serve(b, hwpeer.Security{SharedKey: "key"})
+			address, _ := serve(b, hwpeer.Security{
+				SharedKey: "key",
+			})
 			traffic := &hwpeer.Traffic{}
-			client := hwpeer.NewClient(hwpeer.Security{SharedKey: "key"}, time.Second, nil, traffic)
+			client := hwpeer.NewClient(hwpeer.Security{
+				SharedKey: "key",
+			}, time.Second, nil, traffic)
 			r := report(accounts, 2)
 			b.ReportAllocs()
 			b.ResetTimer()
@@ -136,9 +183,19 @@
 func BenchmarkSlopeGossipBytes(b *testing.B) {
 	for _, rows := range []int{1, 4, 9} {
 		b.Run(fmt.Sprintf("rows=%d", rows), func(b *testing.B) {
-			message := &hwpeerpb.GossipRequest{From: "router-123", DocumentVersion: 1 << 30, DocumentDigest: fmt.Sprintf("%064x", 1)}
+			message := &hwpeerpb.GossipRequest{
+				From:            "router-123",
+				DocumentVersion: 1 << 30,
+				DocumentDigest:  fmt.Sprintf("%064x", 1),
+			}
 			for i := range rows {
-				message.Members = append(message.Members, &hwpeerpb.MemberRow{Instance: fmt.Sprintf("router-%03d", i), Address: "10.20.30.40:18001", Zone: "zone-12", Boot: 1 << 60, Incarnation: 3})
+				message.Members = append(message.Members, &hwpeerpb.MemberRow{
+					Instance:    fmt.Sprintf("router-%03d", i),
+					Address:     "10.20.30.40:18001",
+					Zone:        "zone-12",
+					Boot:        1 << 60,
+					Incarnation: 3,
+				})
 			}
 			for range b.N {
 				_ = proto.Size(message)
--- a/lib/hwpeer/security_test.go
+++ b/lib/hwpeer/security_test.go
@@ -31,8 +31,10 @@
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(t, err)
 	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		Subject:               pkix.Name{CommonName: "authority"},
+		SerialNumber: big.NewInt(1),
+		Subject: pkix.Name{
+			CommonName: "authority",
+		},
 		NotBefore:             time.Now().Add(-time.Hour),
 		NotAfter:              time.Now().Add(time.Hour),
 		IsCA:                  true,
--- a/lib/hwquarantine/guard_test.go
+++ b/lib/hwquarantine/guard_test.go
@@ -40,15 +40,60 @@
 		at      time.Duration
 		want    bool
 	}{
-		{"no strike", nil, 0, false},
-		{"one upstream crashed", []hwquarantine.Strike{strike("a", 0)}, time.Second, false},
-		{"the same upstream crashed twice", []hwquarantine.Strike{strike("a", 0), strike("a", time.Second)}, time.Second, false},
-		{"two upstreams crashed", []hwquarantine.Strike{strike("a", 0), strike("b", time.Second)}, time.Second, true},
-		{"a strike heard twice", []hwquarantine.Strike{strike("a", 0), strike("a", 0)}, time.Second, false},
-		{"answered after the first crash", []hwquarantine.Strike{strike("a", 0), cleared, strike("b", 3*time.Second)}, 3 * time.Second, false},
-		{"clearance heard before the strike", []hwquarantine.Strike{cleared, strike("a", 0), strike("b", time.Second)}, 3 * time.Second, false},
-		{"crashes after the clearance", []hwquarantine.Strike{cleared, strike("a", 3*time.Second), strike("b", 4*time.Second)}, 5 * time.Second, true},
-		{"freed when the first strike is old", []hwquarantine.Strike{strike("a", 0), strike("b", time.Second)}, 61 * time.Second, false},
+		{
+			name:    "no strike",
+			strikes: nil,
+			at:      0,
+			want:    false,
+		},
+		{
+			name:    "one upstream crashed",
+			strikes: []hwquarantine.Strike{strike("a", 0)},
+			at:      time.Second,
+			want:    false,
+		},
+		{
+			name:    "the same upstream crashed twice",
+			strikes: []hwquarantine.Strike{strike("a", 0), strike("a", time.Second)},
+			at:      time.Second,
+			want:    false,
+		},
+		{
+			name:    "two upstreams crashed",
+			strikes: []hwquarantine.Strike{strike("a", 0), strike("b", time.Second)},
+			at:      time.Second,
+			want:    true,
+		},
+		{
+			name:    "a strike heard twice",
+			strikes: []hwquarantine.Strike{strike("a", 0), strike("a", 0)},
+			at:      time.Second,
+			want:    false,
+		},
+		{
+			name:    "answered after the first crash",
+			strikes: []hwquarantine.Strike{strike("a", 0), cleared, strike("b", 3*time.Second)},
+			at:      3 * time.Second,
+			want:    false,
+		},
+		{
+			name:    "clearance heard before the strike",
+			strikes: []hwquarantine.Strike{cleared, strike("a", 0), strike("b", time.Second)},
+			at:      3 * time.Second,
+			want:    false,
+		},
+		{
+			name:    "crashes after the clearance",
+			strikes: []hwquarantine.Strike{cleared, strike("a", 3*time.Second), strike("b", 4*time.Second)},
+			at:      5 * time.Second,
+			want:    true,
+		},
+		{
+			name:    "freed when the first strike is old",
+			strikes: []hwquarantine.Strike{strike("a", 0), strike("b", time.Second)},
+			at:      61 * time.Second,
+			want:    false,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/lib/hwshare/share_test.go
+++ b/lib/hwshare/share_test.go
@@ -27,8 +27,11 @@
 			for range rapid.IntRange(1, 6).Draw(t, "messages") {
 				total += float64(rapid.IntRange(0, 100).Draw(t, "cost"))
 				messages = append(messages, message{
-					origin: hwshare.Origin{Instance: fmt.Sprint(i % 3), Boot: uint64(i)},
-					total:  total,
+					origin: hwshare.Origin{
+						Instance: fmt.Sprint(i % 3),
+						Boot:     uint64(i),
+					},
+					total: total,
 				})
 			}
 			want += total
@@ -46,7 +49,9 @@
 }
 
 func TestAnAccountThatBecomesBackloggedIsLifted(t *testing.T) {
-	c := hwshare.NewCounters(hwshare.CounterSettings{CatchUp: 1e9})
+	c := hwshare.NewCounters(hwshare.CounterSettings{
+		CatchUp: 1e9,
+	})
 	c.SetShare("busy", 2)
 	c.Charge("busy", 1000)
 	c.Observe(start, "busy", true)
@@ -55,7 +60,9 @@
 }
 
 func TestCatchUpIsCapped(t *testing.T) {
-	c := hwshare.NewCounters(hwshare.CounterSettings{CatchUp: 100})
+	c := hwshare.NewCounters(hwshare.CounterSettings{
+		CatchUp: 100,
+	})
 	c.Observe(start, "cut-off", true)
 	c.Observe(start, "served", true)
 	c.Charge("served", 5000)
@@ -65,7 +72,9 @@
 
 func TestLagSumsToZero(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := hwshare.NewCounters(hwshare.CounterSettings{CatchUp: 1e12})
+		c := hwshare.NewCounters(hwshare.CounterSettings{
+			CatchUp: 1e12,
+		})
 		names := []string{"a", "b", "c", "d"}
 		for _, name := range names {
 			c.SetShare(name, float64(rapid.IntRange(1, 10).Draw(t, "share")))
@@ -118,9 +127,27 @@
 		long  float64
 		short float64
 	}{
-		{"all alike", []float64{20, 25, 30}, false, 0, 0},
-		{"one long in ten", []float64{20, 20, 20, 20, 20, 20, 20, 20, 20, 600}, true, 300, 60},
-		{"nine long in ten", []float64{600, 600, 600, 600, 600, 600, 600, 600, 600, 20}, true, 300, 60},
+		{
+			name:  "all alike",
+			costs: []float64{20, 25, 30},
+			found: false,
+			long:  0,
+			short: 0,
+		},
+		{
+			name:  "one long in ten",
+			costs: []float64{20, 20, 20, 20, 20, 20, 20, 20, 20, 600},
+			found: true,
+			long:  300,
+			short: 60,
+		},
+		{
+			name:  "nine long in ten",
+			costs: []float64{600, 600, 600, 600, 600, 600, 600, 600, 600, 20},
+			found: true,
+			long:  300,
+			short: 60,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -146,9 +173,21 @@
 		order hwshare.Order
 		want  []string
 	}{
-		{"short first", hwshare.ShortFirst, []string{"s1", "s2", "l1"}},
-		{"short only", hwshare.ShortOnly, []string{"s1", "s2"}},
-		{"long first", hwshare.LongFirst, []string{"l1", "s1", "s2"}},
+		{
+			name:  "short first",
+			order: hwshare.ShortFirst,
+			want:  []string{"s1", "s2", "l1"},
+		},
+		{
+			name:  "short only",
+			order: hwshare.ShortOnly,
+			want:  []string{"s1", "s2"},
+		},
+		{
+			name:  "long first",
+			order: hwshare.LongFirst,
+			want:  []string{"l1", "s1", "s2"},
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -158,7 +197,12 @@
 				if id[0] == 'l' {
 					lane = hwshare.Long
 				}
-				q.Push(hwshare.Entry[int]{ID: id, Account: "a", Lane: lane, Arrived: start})
+				q.Push(hwshare.Entry[int]{
+					ID:      id,
+					Account: "a",
+					Lane:    lane,
+					Arrived: start,
+				})
 			}
 			var got []string
 			for entry, found := q.Pop("a", c.order); found; entry, found = q.Pop("a", c.order) {
@@ -183,7 +227,9 @@
 				id := fmt.Sprint(i)
 				open[id] = account
 				q.Push(hwshare.Entry[int]{
-					ID: id, Account: account, Arrived: now,
+					ID:       id,
+					Account:  account,
+					Arrived:  now,
 					Lane:     hwshare.Lane(rapid.IntRange(0, 1).Draw(t, "lane")),
 					Deadline: now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "deadline")) * time.Second),
 				})
--- a/lib/hwslot/slope_test.go
+++ b/lib/hwslot/slope_test.go
@@ -16,7 +16,9 @@
 		Lease:   time.Hour,
 		Replan:  25 * time.Millisecond,
 		CatchUp: 1e6,
-		Policy:  hwslot.MaxMin{Gain: 4},
+		Policy: hwslot.MaxMin{
+			Gain: 4,
+		},
 	})
 	limits := map[string]int{}
 	for u := range upstreams {
--- a/lib/hwslot/slot_test.go
+++ b/lib/hwslot/slot_test.go
@@ -39,15 +39,91 @@
 		demands  []hwslot.Demand
 		want     []float64
 	}{
-		{"by share", 12, []hwslot.Demand{{Share: 2, Slots: 99}, {Share: 1, Slots: 99}}, []float64{8, 4}},
-		{"what one does not need goes to the other", 12, []hwslot.Demand{{Share: 2, Slots: 3}, {Share: 1, Slots: 99}}, []float64{3, 9}},
-		{"more capacity than demand", 12, []hwslot.Demand{{Share: 1, Slots: 3}, {Share: 1, Slots: 4}}, []float64{3, 4}},
-		{"a lag is made good", 12, []hwslot.Demand{{Share: 1, Slots: 99, Lag: 0.5}, {Share: 1, Slots: 99, Lag: -0.5}}, []float64{7, 5}},
-		{"an account far ahead keeps four fifths of its part", 12, []hwslot.Demand{{Share: 1, Slots: 99, Lag: 100}, {Share: 1, Slots: 99, Lag: -100}}, []float64{7.2, 4.8}},
+		{
+			name:     "by share",
+			capacity: 12,
+			demands: []hwslot.Demand{
+				{
+					Share: 2,
+					Slots: 99,
+				},
+				{
+					Share: 1,
+					Slots: 99,
+				},
+			},
+			want: []float64{8, 4},
+		},
+		{
+			name:     "what one does not need goes to the other",
+			capacity: 12,
+			demands: []hwslot.Demand{
+				{
+					Share: 2,
+					Slots: 3,
+				},
+				{
+					Share: 1,
+					Slots: 99,
+				},
+			},
+			want: []float64{3, 9},
+		},
+		{
+			name:     "more capacity than demand",
+			capacity: 12,
+			demands: []hwslot.Demand{
+				{
+					Share: 1,
+					Slots: 3,
+				},
+				{
+					Share: 1,
+					Slots: 4,
+				},
+			},
+			want: []float64{3, 4},
+		},
+		{
+			name:     "a lag is made good",
+			capacity: 12,
+			demands: []hwslot.Demand{
+				{
+					Share: 1,
+					Slots: 99,
+					Lag:   0.5,
+				},
+				{
+					Share: 1,
+					Slots: 99,
+					Lag:   -0.5,
+				},
+			},
+			want: []float64{7, 5},
+		},
+		{
+			name:     "an account far ahead keeps four fifths of its part",
+			capacity: 12,
+			demands: []hwslot.Demand{
+				{
+					Share: 1,
+					Slots: 99,
+					Lag:   100,
+				},
+				{
+					Share: 1,
+					Slots: 99,
+					Lag:   -100,
+				},
+			},
+			want: []float64{7.2, 4.8},
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			got := hwslot.MaxMin{Gain: 2}.Aims(c.capacity, c.demands)
+			got := hwslot.MaxMin{
+				Gain: 2,
+			}.Aims(c.capacity, c.demands)
 			for i := range got {
 				assert.InDelta(t, c.want[i], got[i], 1e-6)
 			}
@@ -70,7 +146,9 @@
 			demands = append(demands, d)
 		}
 		sum := 0.0
-		for i, aim := range (hwslot.MaxMin{Gain: 4}).Aims(capacity, demands) {
+		for i, aim := range (hwslot.MaxMin{
+			Gain: 4,
+		}).Aims(capacity, demands) {
 			assert.GreaterOrEqual(t, aim, -1e-6)
 			assert.LessOrEqual(t, aim, demands[i].Slots+1e-6)
 			sum += aim
@@ -123,7 +201,9 @@
 		Lease:   lease,
 		Listen:  lease,
 		CatchUp: 1e6,
-		Policy:  hwslot.MaxMin{Gain: 4},
+		Policy: hwslot.MaxMin{
+			Gain: 4,
+		},
 	})
 	r.broker.SetLimits(r.limits)
 	r.broker.SetMembers(r.names)
@@ -350,10 +430,24 @@
 }
 
 func ExampleMaxMin() {
-	aims := hwslot.MaxMin{Gain: 4}.Aims(30, []hwslot.Demand{
-		{Account: "franchise", Share: 4, Slots: 100},
-		{Account: "brewer", Share: 1, Slots: 100},
-		{Account: "steward", Share: 1, Slots: 2},
+	aims := hwslot.MaxMin{
+		Gain: 4,
+	}.Aims(30, []hwslot.Demand{
+		{
+			Account: "franchise",
+			Share:   4,
+			Slots:   100,
+		},
+		{
+			Account: "brewer",
+			Share:   1,
+			Slots:   100,
+		},
+		{
+			Account: "steward",
+			Share:   1,
+			Slots:   2,
+		},
 	})
 	fmt.Printf("%.1f\n", aims)
 	// Output: [22.4 5.6 2.0]
