A stopping instance waits for the store with its last usage; a scenario

Cause: an instance that stopped while the store was away tried once to store its last usage and lost it. Change: it tries for up to five seconds. Scenario 14 stops one instance during a store outage and one whose write's answer is lost. Before: the first part of the scenario waits in vain. Conclusion: a graceful stop has time for the store.

--- a/cmd/hickorywick-standin/internal/hwscript/commands.go
+++ b/cmd/hickorywick-standin/internal/hwscript/commands.go
@@ -147,6 +147,14 @@
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
 		return router.Stop(ctx)
+	case "leave":
+		// The stop goes on while the scenario does.
+		s.World.List.Remove(name)
+		s.begun = append(s.begun, hwtask.Start(context.Background(), func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, patience)
+			defer cancel()
+			return router.Stop(ctx)
+		}))
 	case "cut":
 		s.World.Network.Cut(name)
 	case "heal":
--- /dev/null
+++ b/cmd/hickorywick-standin/internal/hwscript/usage.go
@@ -0,0 +1,36 @@
+package hwscript
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwworld"
+	"github.com/hickorywick/hickorywick/lib/hwrouter"
+	"github.com/hickorywick/hickorywick/lib/hwusage"
+)
+
+// usageIs reports whether the store holds so much usage of an account, in cost units, over the present hour and the one before, in case the hour has just changed.
+func (s *Stage) usageIs(account, want string) (bool, error) {
+	store := s.World.StoreClient(patience)
+	sum := 0.0
+	now := time.Now()
+	for _, at := range []time.Time{now.Add(-time.Hour), now} {
+		value, err := store.Get(context.Background(), hwrouter.UsageKey(hwworld.Environment, at))
+		if err != nil {
+			return false, trace.Wrap(err)
+		}
+		page, err := hwusage.DecodePage(hwusage.HourOf(at), value.Bytes)
+		if err != nil {
+			return false, trace.Wrap(err)
+		}
+		for _, row := range page.Rows {
+			if row.Account == account {
+				sum += row.Units
+			}
+		}
+	}
+	return strconv.FormatFloat(sum, 'f', 0, 64) == want, nil
+}
--- a/lib/hwrouter/usage.go
+++ b/lib/hwrouter/usage.go
@@ -22,6 +22,8 @@
 	usageAttempts = 5
 	// usageTimeout bounds the last batch of an instance that stops.
 	usageTimeout = 5 * time.Second
+	// usagePause is the time between two tries of an instance that stops.
+	usagePause = 200 * time.Millisecond
 )
 
 // usage is the shared table of what accounts used of this instance's pools and is not in the store yet.
@@ -114,20 +116,22 @@
 	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
 	defer cancel()
 	r.usage.observe(time.Now(), r.allPools())
-	r.flushUsage(ctx, r.usageInterval(), true)
+	for !r.flushUsage(ctx, r.usageInterval(), true) && ctx.Err() == nil {
+		pause(ctx, usagePause)
+	}
 }
 
-// flushUsage stores batches until the present hour's is stored. What cannot be stored waits for the next interval.
-func (r *Router) flushUsage(ctx context.Context, interval time.Duration, closing bool) {
+// flushUsage stores batches until the present hour's is stored, and reports whether it is. What cannot be stored waits for the next interval.
+func (r *Router) flushUsage(ctx context.Context, interval time.Duration, closing bool) bool {
 	for {
 		batch := r.usage.next(interval, closing)
 		if err := r.storeUsage(ctx, batch); err != nil {
 			r.metrics.usageFailures.Add(1)
 			r.logger.Emit(hwevent.UsageNotStored, hwevent.With("hour", batch.Hour.Format(time.RFC3339)), hwevent.With("error", err.Error()))
-			return
+			return false
 		}
 		if !r.usage.stored() {
-			return
+			return true
 		}
 	}
 }
