Idle slots of one router start short work of another; a gain of 0.3

The correction of lags moves parts faster than long work gives slots back, so parts swing. And every router keeps slots idle for the short work of its own accounts, while one router's need swings far more than the fleet's. Change: the gain falls from 1 to 0.3 a second. Reports say how many waiting requests are held back for their account's part; while work waits, half of the idle slots of routers with nothing ready to start is in the broker's hand, and short work of any router starts on them with its next report.

--- a/cmd/hickorywick-router/internal/hwflags/flags.go
+++ b/cmd/hickorywick-router/internal/hwflags/flags.go
@@ -36,7 +36,7 @@
 	InstanceList     string        `env:"HICKORYWICK_INSTANCE_LIST" help:"URL of the platform's list of instances; without it the router is alone."`
 	Document         string        `type:"existingfile" env:"HICKORYWICK_DOCUMENT" help:"Document file for a trial without a store."`
 	Coordination     string        `default:"leased" enum:"leased,static,local" env:"HICKORYWICK_COORDINATION" help:"How routers share slots: leased is the product, static and local are baselines."`
-	Gain             float64       `default:"1" env:"HICKORYWICK_GAIN" help:"How fast a client account's lag is made good, per second."`
+	Gain             float64       `default:"0.3" env:"HICKORYWICK_GAIN" help:"How fast a client account's lag is made good, per second."`
 	Lanes            string        `default:"split" enum:"split,mean,one" env:"HICKORYWICK_LANES" help:"How short work is told from long work: split is the product, mean and one are for comparison."`
 	Lease            time.Duration `default:"2s" env:"HICKORYWICK_LEASE" help:"How long slots may be used without an answer from their broker."`
 	DrainGrace       time.Duration `default:"5s" env:"HICKORYWICK_DRAIN_GRACE" help:"How long a stopping router still accepts requests, until the balancer has seen that it is not ready."`
--- a/lib/hwdispatch/lanes.go
+++ b/lib/hwdispatch/lanes.go
@@ -89,6 +89,14 @@
 	}
 }
 
+// heldBack returns how many requests of an account wait for its part and not for a slot.
+func (d *Dispatcher) heldBack(now time.Time, name string) int {
+	if d.order(now, name) != hwshare.ShortOnly {
+		return 0
+	}
+	return d.queue.WaitingIn(name, hwshare.Long)
+}
+
 func (d *Dispatcher) longMayStart(now time.Time, a *account) bool {
 	need := a.short.need(now)
 	if need == 0 {
--- a/lib/hwdispatch/report.go
+++ b/lib/hwdispatch/report.go
@@ -24,11 +24,12 @@
 			continue
 		}
 		row := hwslot.AccountRow{
-			Account: name,
-			Waiting: d.queue.Waiting(name),
-			Running: a.running,
-			Service: a.service,
-			Pending: math.Round(pending[name]),
+			Account:  name,
+			Waiting:  d.queue.Waiting(name),
+			Running:  a.running,
+			HeldBack: d.heldBack(now, name),
+			Service:  a.service,
+			Pending:  math.Round(pending[name]),
 		}
 		rows = append(rows, row)
 		view = append(view, hwslot.CounterRow{
--- a/lib/hwrouter/settings.go
+++ b/lib/hwrouter/settings.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// DefaultGain is how fast a lag is made good, per second. Multiplied by the report interval it stays well under one.
-const DefaultGain = 1
+// DefaultGain is how fast a lag is made good, per second. Slots move as requests end, so a gain far above one over the length of the longest requests makes the parts swing.
+const DefaultGain = 0.3
 
 // DefaultBodyBytes is the largest request body.
 const DefaultBodyBytes = 8 << 20
--- a/lib/hwslot/allocate.go
+++ b/lib/hwslot/allocate.go
@@ -104,7 +104,7 @@
 		}
 	case float64(total) >= target+1:
 		excess := total - int(math.Ceil(target))
-		lower(allowed, r.upstreams, min(excess, max(-b.unclaimed(report.Instance), b.overcommitted())))
+		lower(allowed, r.upstreams, min(excess, max(-b.unclaimed(report.Instance), b.overcommitted(), b.lent[report.Instance])))
 	default:
 		b.raise(allowed, b.wanted(report.Instance, total, target))
 	}
@@ -130,14 +130,11 @@
 // wanted returns how many more slots a router should get: up to its target, and beyond it what nobody else is waiting for.
 func (b *Broker) wanted(instance string, total int, target float64) int {
 	wanted := max(0, int(math.Ceil(target))-total)
-	waiting := 0
-	for _, row := range b.routers[instance].accounts {
-		waiting += row.Waiting
-	}
-	if waiting <= wanted {
+	_, ready := b.routers[instance].demand()
+	if ready <= wanted {
 		return wanted
 	}
-	return max(wanted, min(waiting, b.unclaimed(instance)))
+	return max(wanted, min(ready, b.unclaimed(instance)))
 }
 
 // unclaimed returns the free slots that no other router lacks to its target; below zero it is how many the others lack. A router above its target gives slots back only for others that lack them, or because more is held than there is: slots that come back to nobody would idle.
--- a/lib/hwslot/messages.go
+++ b/lib/hwslot/messages.go
@@ -17,9 +17,11 @@
 
 // AccountRow is an account's demand and service at one router.
 type AccountRow struct {
-	Account    string
-	Waiting    int
-	Running    int
+	Account string
+	Waiting int
+	Running int
+	// HeldBack is how many of the waiting requests would not start even with a free slot, because it is kept for other work of the account.
+	HeldBack   int
 	OldestWait time.Duration
 	// Service is the grow-only total since the router's boot, in cost units.
 	Service float64
--- a/lib/hwslot/target.go
+++ b/lib/hwslot/target.go
@@ -40,16 +40,68 @@
 	for _, name := range reporting {
 		b.targets[name] += left / float64(len(reporting))
 	}
+	b.lend(reporting)
 	b.claims = map[string]int{}
 	for _, name := range reporting {
-		held := 0
-		for _, h := range b.routers[name].upstreams {
-			held += h.held
-		}
+		held, _ := b.routers[name].total()
 		b.claims[name] = max(0, int(math.Ceil(b.targets[name]))-held)
 	}
 }
 
+// lentPart is the part of the idle slots that the broker keeps in its hand while work waits.
+const lentPart = 0.5
+
+// lend brings part of the idle slots into the broker's hand while work waits in the pool.
+//
+// Routers keep slots idle for their accounts' short work although long work waits. How many each needs swings, and together they need far fewer than the sum: what one does not need now starts another one's short work with its next report. A router with nothing ready to start gets nothing more until it has.
+func (b *Broker) lend(reporting []string) {
+	b.lent = map[string]int{}
+	idle := map[string]int{}
+	sum := 0
+	waits := false
+	for _, name := range reporting {
+		r := b.routers[name]
+		waiting, ready := r.demand()
+		waits = waits || waiting > 0
+		if ready > 0 {
+			continue
+		}
+		held, inUse := r.total()
+		idle[name] = max(0, held-inUse)
+		sum += idle[name]
+	}
+	if !waits {
+		return
+	}
+	free := b.free()
+	missing := max(0, lentPart*float64(sum+free)-float64(free))
+	for name, count := range idle {
+		held, _ := b.routers[name].total()
+		if sum > 0 {
+			b.lent[name] = int(missing * float64(count) / float64(sum))
+		}
+		b.targets[name] = math.Min(b.targets[name], float64(held-b.lent[name]))
+	}
+}
+
+// total returns the slots that a router holds and uses over all upstreams.
+func (r *router) total() (held, inUse int) {
+	for _, h := range r.upstreams {
+		held += h.held
+		inUse += h.inUse
+	}
+	return held, inUse
+}
+
+// demand returns how many requests wait at a router, and how many of them would start with a free slot.
+func (r *router) demand() (waiting, ready int) {
+	for _, row := range r.accounts {
+		waiting += row.Waiting
+		ready += row.Waiting - row.HeldBack
+	}
+	return waiting, ready
+}
+
 // observe refreshes who is backlogged, what is running uncharged, and how much service a slot renders.
 func (b *Broker) observe(now time.Time) {
 	waiting := map[string]bool{}
