--- a/lib/hwrouter/pool.go
+++ b/lib/hwrouter/pool.go
@@ -30,6 +30,8 @@
 	life uint64
 	// changed asks for a report soon.
 	changed chan struct{}
+	// urgent asks for a report at once, because work waits.
+	urgent chan struct{}
 	// stop ends the pool's goroutines when the document drops the pool.
 	stop context.CancelFunc
 
@@ -62,6 +64,7 @@
 		name:    spec.Name,
 		life:    lives.Add(1),
 		changed: make(chan struct{}, 1),
+		urgent:  make(chan struct{}, 1),
 		waiters: map[string]chan decision{},
 		budget: hwretry.NewBudget(now, hwretry.BudgetSettings{
 			Ratio:   retryRatio,
@@ -152,11 +155,18 @@
 			rejection: &effects.Rejections[i],
 		})
 	}
-	if !effects.Report {
-		return
+	if effects.Report {
+		signal(p.changed)
 	}
+	if effects.Urgent {
+		signal(p.urgent)
+	}
+}
+
+// signal leaves word for a goroutine that looks at the channel now or later.
+func signal(channel chan struct{}) {
 	select {
-	case p.changed <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
--- a/lib/hwshare/queue.go
+++ b/lib/hwshare/queue.go
@@ -43,6 +43,8 @@
 type Queue[T any] struct {
 	accounts map[string]*[laneCount][]Entry[T]
 	waiting  map[string]int
+	// earliest is no later than the earliest deadline of all entries; the zero time stands for no entry.
+	earliest time.Time
 }
 
 // NewQueue returns an empty queue.
@@ -58,6 +60,14 @@
 	lanes := q.lanes(entry.Account)
 	lanes[entry.Lane] = append(lanes[entry.Lane], entry)
 	q.waiting[entry.Account]++
+	q.note(entry.Deadline)
+}
+
+// note keeps the bound on the earliest deadline.
+func (q *Queue[T]) note(deadline time.Time) {
+	if q.earliest.IsZero() || deadline.Before(q.earliest) {
+		q.earliest = deadline
+	}
 }
 
 // PushFront puts an entry before all others of its lane, for work that is sent again.
@@ -65,6 +75,7 @@
 	lanes := q.lanes(entry.Account)
 	lanes[entry.Lane] = slices.Insert(lanes[entry.Lane], 0, entry)
 	q.waiting[entry.Account]++
+	q.note(entry.Deadline)
 }
 
 func (q *Queue[T]) lanes(account string) *[laneCount][]Entry[T] {
@@ -170,8 +181,12 @@
 	return false
 }
 
-// Expire removes and returns every entry whose deadline has passed.
+// Expire removes and returns every entry whose deadline has passed. It is called far more often than deadlines pass, so it looks at the entries only when one may have.
 func (q *Queue[T]) Expire(now time.Time) []Entry[T] {
+	if q.earliest.IsZero() || q.earliest.After(now) {
+		return nil
+	}
+	q.earliest = time.Time{}
 	var expired []Entry[T]
 	for _, account := range q.Accounts() {
 		lanes := q.accounts[account]
@@ -180,6 +195,7 @@
 			for _, entry := range lanes[lane] {
 				if entry.Deadline.After(now) {
 					kept = append(kept, entry)
+					q.note(entry.Deadline)
 					continue
 				}
 				expired = append(expired, entry)
--- a/lib/hwshare/share_test.go
+++ b/lib/hwshare/share_test.go
@@ -251,6 +251,21 @@
 	})
 }
 
+// BenchmarkExpire is the tick of a router with many waiting requests of which none is due.
+func BenchmarkExpire(b *testing.B) {
+	q := hwshare.NewQueue[int]()
+	for i := range 1000 {
+		q.Push(hwshare.Entry[int]{
+			ID:       fmt.Sprint(i),
+			Account:  fmt.Sprint(i % 16),
+			Deadline: start.Add(time.Hour),
+		})
+	}
+	for b.Loop() {
+		q.Expire(start)
+	}
+}
+
 func ExampleCounters() {
 	now := time.Unix(1_700_000_000, 0)
 	c := hwshare.NewCounters(hwshare.CounterSettings{
--- a/lib/hwslot/allocate.go
+++ b/lib/hwslot/allocate.go
@@ -77,9 +77,10 @@
 
 func (b *Broker) grant(now time.Time, report Report, r *router) Grant {
 	grant := Grant{
-		Sequence: report.Sequence,
-		Lease:    b.settings.Lease,
-		Fleet:    len(b.members),
+		Sequence:  report.Sequence,
+		Lease:     b.settings.Lease,
+		Fleet:     len(b.members),
+		Contended: b.contended,
 	}
 	allowed := map[string]int{}
 	total := 0
--- a/lib/hwslot/messages.go
+++ b/lib/hwslot/messages.go
@@ -56,6 +56,8 @@
 	Sequence   uint64
 	Lease      time.Duration
 	Fleet      int
-	Upstreams  []UpstreamRow
-	Counters   []CounterRow
+	// Contended tells that work waits somewhere in the pool, so that every router's news matter soon.
+	Contended bool
+	Upstreams []UpstreamRow
+	Counters  []CounterRow
 }
