Reports every 50 ms again while nothing waits

Change: the reports are reverted; the queue's bound on its earliest deadline stays. Conclusion: a failed try.

--- a/lib/hwdispatch/dispatcher.go
+++ b/lib/hwdispatch/dispatcher.go
@@ -207,7 +207,6 @@
 	}
 	effects := d.dispatch(now)
 	effects.Report = true
-	effects.Urgent = d.queue.Waiting(request.Account) > 0
 	return effects
 }
 
--- a/lib/hwdispatch/messages.go
+++ b/lib/hwdispatch/messages.go
@@ -47,8 +47,6 @@
 	Rejections []Rejection
 	// Report asks for a report to the broker soon, because the demand changed.
 	Report bool
-	// Urgent asks for it at once, because work waits.
-	Urgent bool
 }
 
 func (e Effects) with(other Effects) Effects {
@@ -56,7 +54,6 @@
 		Starts:     append(e.Starts, other.Starts...),
 		Rejections: append(e.Rejections, other.Rejections...),
 		Report:     e.Report || other.Report,
-		Urgent:     e.Urgent || other.Urgent,
 	}
 }
 
--- a/lib/hwpeer/convert.go
+++ b/lib/hwpeer/convert.go
@@ -121,7 +121,6 @@
 		Sequence:   g.Sequence,
 		LeaseMs:    uint64(g.Lease.Milliseconds()),
 		Fleet:      uint32(g.Fleet),
-		Contended:  g.Contended,
 		Upstreams:  each(g.Upstreams, upstreamToWire),
 		Counters:   each(g.Counters, counterToWire),
 	}
@@ -135,7 +134,6 @@
 		Sequence:   g.GetSequence(),
 		Lease:      time.Duration(g.GetLeaseMs()) * time.Millisecond,
 		Fleet:      int(g.GetFleet()),
-		Contended:  g.GetContended(),
 		Upstreams:  each(g.GetUpstreams(), upstreamFromWire),
 		Counters:   each(g.GetCounters(), counterFromWire),
 	}
--- a/lib/hwrouter/pool.go
+++ b/lib/hwrouter/pool.go
@@ -30,8 +30,6 @@
 	life uint64
 	// changed asks for a report soon.
 	changed chan struct{}
-	// urgent asks for a report at once, because work waits.
-	urgent chan struct{}
 	// stop ends the pool's goroutines when the document drops the pool.
 	stop context.CancelFunc
 
@@ -64,7 +62,6 @@
 		name:    spec.Name,
 		life:    lives.Add(1),
 		changed: make(chan struct{}, 1),
-		urgent:  make(chan struct{}, 1),
 		waiters: map[string]chan decision{},
 		budget: hwretry.NewBudget(now, hwretry.BudgetSettings{
 			Ratio:   retryRatio,
@@ -155,18 +152,11 @@
 			rejection: &effects.Rejections[i],
 		})
 	}
-	if effects.Report {
-		signal(p.changed)
+	if !effects.Report {
+		return
 	}
-	if effects.Urgent {
-		signal(p.urgent)
-	}
-}
-
-// signal leaves word for a goroutine that looks at the channel now or later.
-func signal(channel chan struct{}) {
 	select {
-	case channel <- struct{}{}:
+	case p.changed <- struct{}{}:
 	default:
 	}
 }
--- a/lib/hwrouter/report.go
+++ b/lib/hwrouter/report.go
@@ -26,9 +26,6 @@
 	}
 }
 
-// calmFactor is how much longer the report interval of a pool is while no work waits anywhere in it: then nothing is decided by the news but who begins with how many idle slots.
-const calmFactor = 4
-
 // reportPool reports to the pool's broker on change, at most once per report interval, and at least once per heartbeat.
 func (r *Router) reportPool(ctx context.Context, p *pool) error {
 	heartbeat := time.NewTicker(r.settings.Times.Heartbeat)
@@ -41,30 +38,8 @@
 		case <-p.changed:
 		case <-heartbeat.C:
 		}
-		// What was urgent until now goes with this report.
-		select {
-		case <-p.urgent:
-		default:
-		}
-		next, contended := r.reportOnce(ctx, p, broker)
-		broker = next
-		interval := r.reportInterval()
-		pause(ctx, interval)
-		if !contended {
-			// The lease lasts several heartbeats, so no pause may be longer than one.
-			pauseUnless(ctx, min((calmFactor-1)*interval, r.settings.Times.Heartbeat-interval), p.urgent)
-		}
-	}
-}
-
-// pauseUnless waits for a span or until there is word on the channel.
-func pauseUnless(ctx context.Context, span time.Duration, word <-chan struct{}) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-word:
-	case <-ctx.Done():
+		broker = r.reportOnce(ctx, p, broker)
+		pause(ctx, r.reportInterval())
 	}
 }
 
@@ -79,8 +54,7 @@
 	return hwslot.First("broker/"+name, r.Alive())
 }
 
-// reportOnce sends a report and returns the broker that it went to, and whether work waits in the pool.
-func (r *Router) reportOnce(ctx context.Context, p *pool, before string) (string, bool) {
+func (r *Router) reportOnce(ctx context.Context, p *pool, before string) string {
 	broker := r.brokerOf(p.name)
 	if broker != before {
 		r.logger.Emit(hwevent.BrokerChanged, hwevent.With("pool", p.name), hwevent.With("broker", broker))
@@ -99,10 +73,8 @@
 		p.reportFailed()
 	default:
 		p.grant(time.Now(), grant)
-		return broker, grant.Contended
 	}
-	// Without an answer nothing is known of the others.
-	return broker, true
+	return broker
 }
 
 func (r *Router) sendReport(ctx context.Context, now time.Time, broker string, report hwslot.Report) (hwslot.Grant, error) {
--- a/lib/hwslot/allocate.go
+++ b/lib/hwslot/allocate.go
@@ -77,10 +77,9 @@
 
 func (b *Broker) grant(now time.Time, report Report, r *router) Grant {
 	grant := Grant{
-		Sequence:  report.Sequence,
-		Lease:     b.settings.Lease,
-		Fleet:     len(b.members),
-		Contended: b.contended,
+		Sequence: report.Sequence,
+		Lease:    b.settings.Lease,
+		Fleet:    len(b.members),
 	}
 	allowed := map[string]int{}
 	total := 0
--- a/lib/hwslot/broker.go
+++ b/lib/hwslot/broker.go
@@ -64,8 +64,6 @@
 	// held and kept are the tally: what live routers hold and silent members keep, by upstream.
 	held map[string]int
 	kept map[string]int
-	// contended tells that work waited at a live router, as of the last plan.
-	contended bool
 	// lent are the idle slots that routers give back for a while, as of the last plan.
 	lent map[string]int
 	// claims are the slots that routers lack to their targets, as of the last plan.
--- a/lib/hwslot/lend_test.go
+++ b/lib/hwslot/lend_test.go
@@ -37,18 +37,8 @@
 	return l
 }
 
-// TestGrantsTellWhetherWorkWaits lets one router have waiting work: the other is told with its next grant, and told again when it is over.
-func TestGrantsTellWhetherWorkWaits(t *testing.T) {
-	l := newLender(20)
-	waiting := []int{0, 3, 0}
-	for _, count := range waiting {
-		l.report("busy", 0, count, 0)
-		assert.Equal(t, count > 0, l.report("idle", 0, 0, 0).Contended)
-	}
-}
-
 // report sends what a router uses and how many requests of its account wait, some of them held back.
-func (l *lender) report(router string, inUse, waiting, heldBack int) hwslot.Grant {
+func (l *lender) report(router string, inUse, waiting, heldBack int) {
 	l.now = l.now.Add(50 * time.Millisecond)
 	l.sequence++
 	grant := l.broker.Report(l.now, hwslot.Report{
@@ -71,7 +61,6 @@
 	for _, row := range grant.Upstreams {
 		l.held[router] = row.Held
 	}
-	return grant
 }
 
 // TestIdleSlotsOfOneRouterStartWorkOfAnother lets one router keep slots for short work that does not come, while short work waits at the other.
--- a/lib/hwslot/messages.go
+++ b/lib/hwslot/messages.go
@@ -56,8 +56,6 @@
 	Sequence   uint64
 	Lease      time.Duration
 	Fleet      int
-	// Contended tells that work waits somewhere in the pool, so that every router's news matter soon.
-	Contended bool
-	Upstreams []UpstreamRow
-	Counters  []CounterRow
+	Upstreams  []UpstreamRow
+	Counters   []CounterRow
 }
--- a/lib/hwslot/target.go
+++ b/lib/hwslot/target.go
@@ -58,11 +58,11 @@
 	b.lent = map[string]int{}
 	idle := map[string]int{}
 	sum := 0
-	b.contended = false
+	waits := false
 	for _, name := range reporting {
 		r := b.routers[name]
 		waiting, ready := r.demand()
-		b.contended = b.contended || waiting > 0
+		waits = waits || waiting > 0
 		if ready > 0 {
 			continue
 		}
@@ -70,7 +70,7 @@
 		idle[name] = max(0, held-inUse)
 		sum += idle[name]
 	}
-	if !b.contended {
+	if !waits {
 		return
 	}
 	free := b.free()
