Long work of an account starts at a bounded pace

When the long work arrives everywhere at once the router that reports first has the whole idle pool, fills it with one account's long work for twelve seconds, and that account's own short work piles up while the others take their parts back. Change: an account's long work starts at most 4 at once and 40 a second at a router. A dispatch with an empty queue ends at once.

--- a/lib/hwdispatch/dispatcher.go
+++ b/lib/hwdispatch/dispatcher.go
@@ -50,6 +50,8 @@
 	long int
 	// short measures the account's short work.
 	short shortLoad
+	// pace bounds the starts of its long work.
+	pace longPace
 	// aim is the number of slots meant for the account at this router; aimed tells that a broker said so.
 	aim   float64
 	aimed bool
@@ -271,6 +273,10 @@
 func (d *Dispatcher) dispatch(now time.Time) Effects {
 	var effects Effects
 	for {
+		// Ticks and ends come far more often than something waits.
+		if d.queue.Empty() {
+			return effects
+		}
 		upstreams := d.holder.Upstreams()
 		if len(upstreams) == 0 {
 			return effects
@@ -348,6 +354,9 @@
 	a.starts++
 	a.halveStarts(now)
 	d.enterLane(now, a, entry.Lane)
+	if entry.Lane == hwshare.Long {
+		a.pace.allowance--
+	}
 	d.running[entry.ID] = &running{
 		request:  entry.Item,
 		upstream: upstream,
--- a/lib/hwdispatch/dispatcher_test.go
+++ b/lib/hwdispatch/dispatcher_test.go
@@ -341,3 +341,42 @@
 		})
 	}
 }
+
+// TestLongWorkStartsAtABoundedPace lets long work arrive all at once on an idle pool: it fills the pool over some ticks, so that the broker hears of others first.
+func TestLongWorkStartsAtABoundedPace(t *testing.T) {
+	d := newDispatcher(pool(4, 25), accounts(1))
+	now := start
+	for i := range 60 {
+		now = now.Add(200 * time.Millisecond)
+		short, long := fmt.Sprint("short-", i), fmt.Sprint("long-", i)
+		shortOne := request(short, "account-0")
+		shortOne.Hint = 20
+		d.Enqueue(now, shortOne)
+		d.Finish(now, short, hwdispatch.Finish{Cost: 10})
+		if i < 10 {
+			longOne := request(long, "account-0")
+			longOne.Hint = 1200
+			d.Enqueue(now, longOne)
+			d.Finish(now, long, hwdispatch.Finish{Cost: 600})
+		}
+	}
+	started := 0
+	for i := range 200 {
+		longOne := request(fmt.Sprint("burst-", i), "account-0")
+		longOne.Hint = 1200
+		started += len(d.Enqueue(now, longOne).Starts)
+	}
+	assert.LessOrEqual(t, started, 4, "the burst")
+	for range 10 {
+		now = now.Add(20 * time.Millisecond)
+		effects, _ := d.Tick(now)
+		started += len(effects.Starts)
+	}
+	assert.InDelta(t, 4+0.2*40, started, 1)
+	for range 150 {
+		now = now.Add(20 * time.Millisecond)
+		effects, _ := d.Tick(now)
+		started += len(effects.Starts)
+	}
+	assert.Equal(t, 100, started, "the pool is full in the end")
+}
--- a/lib/hwdispatch/lanes.go
+++ b/lib/hwdispatch/lanes.go
@@ -72,6 +72,29 @@
 	return math.Ceil(mean + swingFactor*math.Sqrt(mean))
 }
 
+// longPace bounds how fast long work of an account may start. Long work keeps its slots for seconds and cannot be sent back: when it arrives at many routers at once, the one that reports first must not fill the whole pool before the broker has heard of the others.
+type longPace struct {
+	allowance float64
+	at        time.Time
+}
+
+const (
+	// longBurst is how many long requests may start at once, longPerSecond how many more each second.
+	longBurst     = 4
+	longPerSecond = 40
+)
+
+// ready refills the allowance and reports whether one more may start.
+func (l *longPace) ready(now time.Time) bool {
+	if l.at.IsZero() {
+		l.allowance = longBurst
+	} else {
+		l.allowance = math.Min(longBurst, l.allowance+longPerSecond*now.Sub(l.at).Seconds())
+	}
+	l.at = now
+	return l.allowance >= 1
+}
+
 // longPart is the part of an account's slots, as one in so many, that long work may claim ahead of waiting short work.
 const longPart = 5
 
@@ -80,6 +103,8 @@
 	a := d.account(name)
 	head, waits := d.queue.Head(name, hwshare.Long)
 	switch {
+	case waits && !a.pace.ready(now):
+		return hwshare.ShortOnly
 	case waits && now.Sub(head.Arrived) > d.settings.Patience && a.long*longPart <= a.running:
 		return hwshare.LongFirst
 	case d.longMayStart(now, a):
--- a/lib/hwdispatch/report.go
+++ b/lib/hwdispatch/report.go
@@ -89,7 +89,7 @@
 }
 
 // Idle reports whether nothing waits or runs.
-func (d *Dispatcher) Idle() bool { return len(d.running) == 0 && len(d.queue.Accounts()) == 0 }
+func (d *Dispatcher) Idle() bool { return len(d.running) == 0 && d.queue.Empty() }
 
 // Status returns the pool's state at this router.
 func (d *Dispatcher) Status() Status {
--- a/lib/hwshare/queue.go
+++ b/lib/hwshare/queue.go
@@ -90,6 +90,9 @@
 // Waiting returns how many entries of an account wait.
 func (q *Queue[T]) Waiting(account string) int { return q.waiting[account] }
 
+// Empty reports whether nothing waits.
+func (q *Queue[T]) Empty() bool { return len(q.waiting) == 0 }
+
 // WaitingIn returns how many entries of an account wait in a lane.
 func (q *Queue[T]) WaitingIn(account string, lane Lane) int {
 	lanes, known := q.accounts[account]
