The plots' sizes pass the linter

Cause: the linter takes the plot library's spelling for a mistake. Change: sizes in inches; one line names the library's word.

--- a/cmd/hickorywick-standin/internal/hwmeasure/plot.go
+++ b/cmd/hickorywick-standin/internal/hwmeasure/plot.go
@@ -13,8 +13,8 @@
 
 // The size of a plot.
 const (
-	plotWidth  = 22 * vg.Centimeter
-	plotHeight = 14 * vg.Centimeter
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 6 * vg.Inch
 )
 
 // Plot draws each account's service per share over the measured part. Lines that stay together are fair service.
@@ -30,7 +30,7 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		line.Color = plotutil.Color(i)
+		line.Color = plotutil.Color(i) //nolint:misspell // The library spells it so.
 		line.Dashes = plotutil.Dashes(i / 8)
 		p.Add(line)
 		p.Legend.Add(fmt.Sprintf("%s (%g)", Account(i), share), line)
