An instance is ready once a peer has told it of crashed upstreams

Cause: under load from several test processes scenario 15 failed once in 15 runs: a router that had just been replaced was ready before it had heard from a peer, and ran a request that the others had quarantined. Scenario 2 failed once too: its repeat came before the outcome, which is recorded after the answer has gone out, had reached the owner. The trace shows the repeat told that its key is in use, as it may be. Scenario 2 waits until the repeat is replayed and then checks as before. One other failure was seen there: a killed service's port was taken by a listener of another test process. Conclusion: readiness has to include what peers know.

--- a/cmd/hickorywick-standin/internal/hwscript/states.go
+++ b/cmd/hickorywick-standin/internal/hwscript/states.go
@@ -11,7 +11,7 @@
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwworld"
 )
 
-// untilCommand waits for a state: version N [ROUTER], running N, executions NAME N, members ROUTER N, ready ROUTER, not-ready ROUTER, logged NAME, usage ACCOUNT UNITS, leased ROUTER yes|no, served ENGINE N, idle ENGINE.
+// untilCommand waits for a state: version N [ROUTER], running N, executions NAME N, members ROUTER N, ready ROUTER, not-ready ROUTER, logged NAME, usage ACCOUNT UNITS, replayed ROUTER KEY BODY, leased ROUTER yes|no, served ENGINE N, idle ENGINE.
 func untilCommand(s *Stage, a Arguments) error {
 	return Wait(strings.Join(a.Words, " "), func() bool {
 		got, err := s.state(a)
@@ -59,6 +59,13 @@
 	case "read-held":
 		number, err := strconv.Atoi(a.Word(1))
 		return err == nil && s.World.Engines[number-1].ReadHeld(), err
+	case "replayed":
+		// The outcome is recorded after the answer has gone out; until then a repeat is told that the key is in use.
+		if err := callCommand(s, Parse([]string{"until", a.Word(1), "POST", "/services/desk/orders", "key=" + a.Word(2), "body=" + a.Word(3)})); err != nil {
+			return false, err
+		}
+		reply, err := s.Reply("until")
+		return reply.Replayed, err
 	case "usage":
 		return s.usageIs(a.Word(1), a.Word(2))
 	case "can-order":
--- a/lib/hwrouter/members.go
+++ b/lib/hwrouter/members.go
@@ -266,6 +266,7 @@
 	}
 	r.withTable(func(now time.Time) { r.table.Merge(now, hwpeer.MembersFromWire(reply.GetMembers())) })
 	r.takeStrikes(time.Now(), reply.GetStrikes())
+	r.heard.Store(true)
 	r.offeredByPeer(ctx, to.Address, reply.GetDocumentVersion(), reply.GetDocumentDigest())
 	if !reply.GetReached() {
 		return trace.ConnectionProblem(nil, "peer %s did not reach %s", to.Instance, target)
--- a/lib/hwrouter/router.go
+++ b/lib/hwrouter/router.go
@@ -56,9 +56,11 @@
 	listed    atomic.Bool
 	// selfListed tells that the list shows this instance.
 	selfListed atomic.Bool
-	bootAt     time.Time
-	stopping   atomic.Bool
-	servers    []*khttp.Server
+	// heard tells that a peer has told what it knows, crashes of upstreams among it.
+	heard    atomic.Bool
+	bootAt   time.Time
+	stopping atomic.Bool
+	servers  []*khttp.Server
 
 	// membersLock guards table. Nothing is called under it but the table.
 	membersLock sync.Mutex
@@ -305,7 +307,12 @@
 
 // Ready reports whether the router can serve callers.
 func (r *Router) Ready() bool {
-	return r.knowsFleet(time.Now()) && r.Document() != nil && !r.stopping.Load() && r.running.Err() == nil
+	return r.knowsFleet(time.Now()) && r.knowsNews(time.Now()) && r.Document() != nil && !r.stopping.Load() && r.running.Err() == nil
+}
+
+// knowsNews reports whether a peer has told what it knows. An instance that serves before that would run a request that has crashed upstreams elsewhere. When no peer answers it serves all the same after a while.
+func (r *Router) knowsNews(now time.Time) bool {
+	return r.heard.Load() || len(r.Alive()) <= 1 || now.Sub(r.bootAt) > unlistedPatience
 }
 
 func (r *Router) pool(name string) *pool {
