A killed stand-in keeps its port

Cause: with several test processes at once scenario 1 got an answer of another process: its killed service's port had been given to that one's listener. Change: a killed stand-in binds its port without listening until it starts again or its world ends. Conclusion: a verdict must not depend on who gets a port.

--- a/cmd/hickorywick-standin/internal/hwworld/server.go
+++ b/cmd/hickorywick-standin/internal/hwworld/server.go
@@ -19,6 +19,8 @@
 	lock    sync.Mutex
 	server  *http.Server
 	ended   <-chan error
+	// reserved keeps the port of a killed server; nil when another program was faster.
+	reserved *reservation
 }
 
 // NewServer returns a server that listens on a free loopback port.
@@ -37,6 +39,8 @@
 	if s.server != nil {
 		return nil
 	}
+	s.reserved.release()
+	s.reserved = nil
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return trace.Wrap(err)
@@ -64,6 +68,16 @@
 	}
 	_ = s.server.Close()
 	s.server = nil
+	s.reserved, _ = reserve(s.address)
+}
+
+// Close ends the server for good and gives its port back.
+func (s *Server) Close() {
+	s.Kill()
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.reserved.release()
+	s.reserved = nil
 }
 
 // Address returns the IP number and port.
--- a/cmd/hickorywick-standin/internal/hwworld/world.go
+++ b/cmd/hickorywick-standin/internal/hwworld/world.go
@@ -479,6 +479,6 @@
 		r.Kill()
 	}
 	for _, s := range w.servers {
-		s.Kill()
+		s.Close()
 	}
 }
