--- a/lib/hwtrail/trail_test.go
+++ b/lib/hwtrail/trail_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -37,6 +38,39 @@
 	})
 }
 
+// BenchmarkMemory fills a ring with requests that waited once and were sent once, and reports the memory of one.
+func BenchmarkMemory(b *testing.B) {
+	const size = 8192
+	for b.Loop() {
+		before := heap()
+		ring := hwtrail.NewRing(size)
+		for i := range size {
+			ring.Add(hwtrail.Trail{
+				Request:  fmt.Sprintf("%024d", i),
+				Instance: "router-1",
+				Account:  "account-001",
+				Pool:     "models",
+				Waits:    make([]hwtrail.Wait, 1),
+				Attempts: []hwtrail.Attempt{{
+					Upstream: fmt.Sprintf("10.20.30.%d:8000", i%256),
+					Outcome:  "answered",
+				}},
+				End:       "answered",
+				Execution: "ran",
+			})
+		}
+		b.ReportMetric((heap()-before)/size, "B/trail")
+		runtime.KeepAlive(ring)
+	}
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
 func ExampleRing() {
 	ring := hwtrail.NewRing(1000)
 	ring.Add(hwtrail.Trail{
