--- /dev/null
+++ b/lib/hwadmit/admit.go
@@ -0,0 +1,57 @@
+package hwadmit
+
+import "time"
+
+// Settings bound the wait with which requests are taken.
+type Settings struct {
+	// WaitPart is the largest estimated wait of an account within its share, as a part of the objective.
+	WaitPart float64
+	// OverPart scales that wait for an account that has had twice its share; in between it falls evenly.
+	OverPart float64
+	// ReturnFloor is the shortest time after which a refused caller is asked back.
+	ReturnFloor time.Duration
+	// ReturnSpread is added times a draw, so that refused callers do not return together.
+	ReturnSpread time.Duration
+}
+
+// Request is what decides about one request.
+type Request struct {
+	// Wait is the estimated wait behind other work.
+	Wait time.Duration
+	// Objective is the time within which an answer is on time.
+	Objective time.Duration
+	// Ratio is the account's use as a part of its fair rate.
+	Ratio float64
+	// Idle tells that the chosen upstream has room and nothing waits there.
+	Idle bool
+	// Draw lies in [0, 1).
+	Draw float64
+}
+
+// Verdict is a decision with its reason in figures.
+type Verdict struct {
+	Admitted bool
+	// Limit is the largest wait that would have been taken.
+	Limit time.Duration
+	// RetryAfter is when a refused caller should find room.
+	RetryAfter time.Duration
+}
+
+// Decide takes or refuses a request. Its own size does not count, so that large requests are not refused more often than small ones.
+func (s Settings) Decide(r Request) Verdict {
+	part := s.WaitPart
+	if r.Ratio > 1 {
+		part *= 1 - (1-s.OverPart)*min(1, r.Ratio-1)
+	}
+	limit := time.Duration(part * float64(r.Objective))
+	if r.Wait <= limit {
+		return Verdict{
+			Admitted: true,
+			Limit:    limit,
+		}
+	}
+	return Verdict{
+		Limit:      limit,
+		RetryAfter: max(s.ReturnFloor, r.Wait-limit) + time.Duration(r.Draw*float64(s.ReturnSpread)),
+	}
+}
--- a/lib/hwerror/refusal.go
+++ b/lib/hwerror/refusal.go
@@ -37,6 +37,7 @@
 	KindShuttingDown     Kind = "shutting-down"
 	KindStoreUnavailable Kind = "store-unavailable"
 	KindUpstreamFailed   Kind = "upstream-failed"
+	KindUpstreamTimeout  Kind = "upstream-timeout"
 	KindAnswerCrossed    Kind = "answer-crossed"
 	KindKeyInUse         Kind = "idempotency-key-in-use"
 	KindKeyReused        Kind = "idempotency-key-reused"
@@ -63,6 +64,7 @@
 	KindShuttingDown:     http.StatusServiceUnavailable,
 	KindStoreUnavailable: http.StatusServiceUnavailable,
 	KindUpstreamFailed:   http.StatusBadGateway,
+	KindUpstreamTimeout:  http.StatusGatewayTimeout,
 	KindAnswerCrossed:    http.StatusBadGateway,
 	KindKeyInUse:         http.StatusConflict,
 	KindKeyReused:        http.StatusUnprocessableEntity,
--- a/lib/hwevent/event.go
+++ b/lib/hwevent/event.go
@@ -103,7 +103,25 @@
 	}
 	entry = entry.Int("event", event.Number).Str("name", event.Name)
 	for _, f := range fields {
-		entry = entry.Any(f.Name, f.Value)
+		entry = add(entry, f)
 	}
 	entry.Msg("")
 }
+
+// add writes a field; the common types go without reflection.
+func add(entry *log.Entry, f Field) *log.Entry {
+	switch value := f.Value.(type) {
+	case string:
+		return entry.Str(f.Name, value)
+	case int:
+		return entry.Int(f.Name, value)
+	case int64:
+		return entry.Int64(f.Name, value)
+	case uint64:
+		return entry.Uint64(f.Name, value)
+	case bool:
+		return entry.Bool(f.Name, value)
+	default:
+		return entry.Any(f.Name, value)
+	}
+}
--- /dev/null
+++ b/lib/hwevent/writer.go
@@ -0,0 +1,105 @@
+package hwevent
+
+import (
+	"context"
+	"io"
+	"log"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/hickorywick/hickorywick/lib/hwtask"
+)
+
+// Queue is a writer that never blocks: lines wait in memory up to a bound and are written by one goroutine. When half of the bound is taken, lines below Warn are left out, so that failures still find room; a line says how many were left out.
+type Queue struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	// written is closed when the goroutine has ended.
+	written <-chan error
+	stop    context.CancelFunc
+}
+
+// NewQueue returns a queue of at most the given number of lines that writes to out.
+func NewQueue(ctx context.Context, out io.Writer, bound int) *Queue {
+	ctx, cancel := context.WithCancel(ctx)
+	q := &Queue{
+		lines: make(chan []byte, bound),
+		stop:  cancel,
+	}
+	q.written = hwtask.Start(ctx, func(ctx context.Context) error { return q.run(ctx, out) })
+	return q
+}
+
+// Write takes one line. It never fails and never waits.
+func (q *Queue) Write(line []byte) (int, error) {
+	if len(q.lines) > cap(q.lines)/2 && !urgent(line) {
+		q.dropped.Add(1)
+		return len(line), nil
+	}
+	// The logger reuses its buffer.
+	select {
+	case q.lines <- append([]byte(nil), line...):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// urgent reports whether a line is a refusal, a failure or worse.
+func urgent(line []byte) bool {
+	text := string(line)
+	return strings.Contains(text, `"level":"warn"`) || strings.Contains(text, `"level":"error"`) || strings.Contains(text, `"name":"request-refused"`)
+}
+
+func (q *Queue) run(ctx context.Context, out io.Writer) error {
+	for {
+		select {
+		case line := <-q.lines:
+			q.put(out, line)
+		case <-ctx.Done():
+			for {
+				select {
+				case line := <-q.lines:
+					q.put(out, line)
+				default:
+					return nil
+				}
+			}
+		}
+	}
+}
+
+func (q *Queue) put(out io.Writer, line []byte) {
+	if dropped := q.dropped.Swap(0); dropped > 0 {
+		line = append(line, `{"level":"warn","event":`+strconv.Itoa(LinesDropped.Number)+`,"name":"`+LinesDropped.Name+`","count":`+strconv.FormatInt(dropped, 10)+"}\n"...)
+	}
+	// A log that can't be written has nobody to tell.
+	_, _ = out.Write(line)
+}
+
+// Close writes what waits and ends the queue. A reader that has stalled holds it up.
+func (q *Queue) Close() error {
+	q.stop()
+	return hwtask.Join(q.written)
+}
+
+// eventWriter turns lines of the standard library into events.
+type eventWriter struct {
+	logger *Logger
+	event  Event
+}
+
+// Write emits one line.
+func (w eventWriter) Write(line []byte) (int, error) {
+	w.logger.Emit(w.event, With("line", strings.TrimSpace(string(line))))
+	return len(line), nil
+}
+
+// StandardLogger returns a logger of the standard library that emits its lines as events.
+func StandardLogger(logger *Logger, event Event) *log.Logger {
+	return log.New(eventWriter{
+		logger: logger,
+		event:  event,
+	}, "", 0)
+}
--- /dev/null
+++ b/lib/hwfollow/lapsing.go
@@ -0,0 +1,50 @@
+package hwfollow
+
+import (
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+)
+
+// Lapsing tells upstreams that left from those whose entries only lapsed while the source could not be asked.
+type Lapsing struct {
+	lapse time.Duration
+	known map[string]hwplace.Upstream
+	// lost tells that the last question failed, regained is when one succeeded again.
+	lost     bool
+	regained time.Time
+}
+
+// NewLapsing returns a Lapsing that knows no upstream. Lapse is how long after an outage missing entries count as lapsed.
+func NewLapsing(lapse time.Duration) Lapsing {
+	return Lapsing{
+		lapse: lapse,
+		known: map[string]hwplace.Upstream{},
+	}
+}
+
+// Lost notes a failed question.
+func (l *Lapsing) Lost(time.Time) { l.lost = true }
+
+// Take returns the list with the upstreams that are missing for a moment only. One that was leaving stays leaving.
+func (l *Lapsing) Take(now time.Time, list []hwplace.Upstream) []hwplace.Upstream {
+	if l.lost {
+		l.lost = false
+		l.regained = now
+	}
+	listed := make(map[string]hwplace.Upstream, len(list))
+	for _, u := range list {
+		listed[u.ID] = u
+	}
+	merged := list
+	if !l.regained.IsZero() && now.Sub(l.regained) < l.lapse {
+		for id, u := range l.known {
+			if _, found := listed[id]; !found {
+				listed[id] = u
+				merged = append(merged, u)
+			}
+		}
+	}
+	l.known = listed
+	return merged
+}
--- /dev/null
+++ b/lib/hwforward/news.go
@@ -0,0 +1,73 @@
+package hwforward
+
+import (
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwadmit"
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+	"github.com/hickorywick/hickorywick/lib/hwprompt"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
+)
+
+// Reading says that an upstream reads a part of a prompt, and so holds it afterwards.
+type Reading struct {
+	Pool     string
+	Upstream string
+	Link     hwprompt.Link
+}
+
+// News is what a router tells its peers: its present work and its accounts' use as a whole, readings and strikes since it last told them.
+type News struct {
+	Loads    map[string][]hwplace.PeerLoad
+	Use      map[string]hwadmit.Use
+	Readings []Reading
+	Strikes  []hwquarantine.Strike
+}
+
+// The bounds of what one message tells.
+const (
+	newsReadings = 40
+	newsStrikes  = 20
+)
+
+// Tell returns the news for the peers and counts them as told. Readings beyond the bound wait for the next time.
+func (r *Router) Tell(now time.Time) News {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	told := News{
+		Loads: make(map[string][]hwplace.PeerLoad, len(r.pools)),
+		Use:   r.shares.Own(now),
+	}
+	for name, p := range r.pools {
+		if loads := p.Loads(); len(loads) > 0 {
+			told.Loads[name] = loads
+		}
+	}
+	told.Readings, r.news.Readings = cut(r.news.Readings, newsReadings)
+	told.Strikes, r.news.Strikes = cut(r.news.Strikes, newsStrikes)
+	return told
+}
+
+// cut splits a list after a number of entries.
+func cut[T any](list []T, most int) (head, tail []T) {
+	if len(list) <= most {
+		return list, nil
+	}
+	return list[:most:most], list[most:]
+}
+
+// Hear takes a peer's news.
+func (r *Router) Hear(now time.Time, peer string, news News) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.shares.SetPeer(now, peer, news.Use)
+	for name, p := range r.pools {
+		p.SetPeer(now, peer, news.Loads[name])
+	}
+	for _, reading := range news.Readings {
+		if p := r.pools[reading.Pool]; p != nil {
+			p.Hold(reading.Upstream, reading.Link)
+		}
+	}
+	r.strike(now, news.Strikes, false)
+}
--- /dev/null
+++ b/lib/hwforward/router.go
@@ -0,0 +1,261 @@
+package hwforward
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwadmit"
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwlink"
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
+	"github.com/hickorywick/hickorywick/lib/hwretry"
+	"github.com/hickorywick/hickorywick/lib/hwtable"
+)
+
+// Settings are the router's bounds and weights.
+type Settings struct {
+	Place hwplace.Settings
+	Admit hwadmit.Settings
+	// ShareWindow is the time over which accounts' rates are averaged.
+	ShareWindow time.Duration
+	// RetryRatio and RetryReserve bound what this router sends again, as a part of its requests and as a number on top.
+	RetryRatio   float64
+	RetryReserve float64
+	// KeyFreshness is how long a confirmed table is good for requests with a key. TableFreshness is how long it is good for saying that a route or key does not exist.
+	KeyFreshness   time.Duration
+	TableFreshness time.Duration
+	// BodyTimeout bounds the reading of a request's body.
+	BodyTimeout time.Duration
+	// WriteTimeout bounds one write to a caller.
+	WriteTimeout time.Duration
+	// GeneratedWeight is the cost of a generated token in prompt tokens.
+	GeneratedWeight float64
+	// Quarantine bounds the memory of requests that crash upstreams.
+	Quarantine hwquarantine.Settings
+}
+
+// Clock tells the time. Boot also counts the time for which the machine was suspended, which the steady clock leaves out.
+type Clock struct {
+	Now  func() time.Time
+	Boot func() time.Duration
+}
+
+// Dependencies are what a router needs from outside.
+type Dependencies struct {
+	Edge   Edge
+	Links  *hwlink.Links
+	Logger *hwevent.Logger
+	Clock  Clock
+	Random rand.Source
+}
+
+// confirmed is when the table in force was last known to be the newest, by both clocks.
+type confirmed struct {
+	at   time.Time
+	boot time.Duration
+}
+
+// Router forwards requests. The lock guards all decisions below it; nothing that waits is called under it.
+type Router struct {
+	settings Settings
+	edge     Edge
+	links    *hwlink.Links
+	logger   *hwevent.Logger
+	clock    Clock
+	metrics  Metrics
+
+	table     atomic.Pointer[hwtable.Table]
+	confirmed atomic.Pointer[confirmed]
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
+
+	lock    sync.Mutex
+	random  *rand.Rand
+	pools   map[string]*hwplace.Pool
+	budgets map[string]*hwretry.Budget
+	shares  *hwadmit.Shares
+	guard   *hwquarantine.Guard
+	// upstreams are all that the list names, by pool.
+	upstreams map[string][]hwplace.Upstream
+	// suspects are requests that were at an upstream when its connection broke.
+	suspects []suspect
+	// news are what peers should hear and have not been told yet.
+	news News
+}
+
+// New returns a router without a table or upstreams.
+func New(settings Settings, dependencies Dependencies) *Router {
+	return &Router{
+		settings:  settings,
+		edge:      dependencies.Edge,
+		links:     dependencies.Links,
+		logger:    dependencies.Logger,
+		clock:     dependencies.Clock,
+		random:    rand.New(dependencies.Random),
+		pools:     map[string]*hwplace.Pool{},
+		budgets:   map[string]*hwretry.Budget{},
+		shares:    hwadmit.NewShares(settings.ShareWindow),
+		guard:     hwquarantine.New(settings.Quarantine),
+		upstreams: map[string][]hwplace.Upstream{},
+		metrics:   newMetrics(),
+	}
+}
+
+// SetTable puts a newer table in force. An older one is ignored: the configuration never goes back.
+func (r *Router) SetTable(now time.Time, table *hwtable.Table) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if current := r.table.Load(); current != nil && table.Version() <= current.Version() {
+		return false
+	}
+	r.table.Store(table)
+	for name, list := range r.upstreams {
+		r.update(now, name, list)
+	}
+	return true
+}
+
+// Table returns the table in force, or nil.
+func (r *Router) Table() *hwtable.Table { return r.table.Load() }
+
+// Confirm notes that the table in force was the newest at the given time. The times are taken before the question was asked, because the table may have changed just after.
+func (r *Router) Confirm(at time.Time, boot time.Duration) {
+	next := &confirmed{
+		at:   at,
+		boot: boot,
+	}
+	for {
+		current := r.confirmed.Load()
+		if current != nil && current.boot >= boot {
+			return
+		}
+		if r.confirmed.CompareAndSwap(current, next) {
+			return
+		}
+	}
+}
+
+// fresh reports whether the table was confirmed within a span, by the steady clock and by the one that counts suspended time.
+func (r *Router) fresh(now time.Time, span time.Duration) bool {
+	c := r.confirmed.Load()
+	return c != nil && now.Sub(c.at) < span && r.clock.Boot()-c.boot < span
+}
+
+// Age returns how long ago the table was confirmed.
+func (r *Router) Age() time.Duration {
+	if c := r.confirmed.Load(); c != nil {
+		return r.clock.Boot() - c.boot
+	}
+	return -1
+}
+
+// SetUpstreams replaces the list of upstreams.
+func (r *Router) SetUpstreams(now time.Time, list []hwplace.Upstream) {
+	byPool := map[string][]hwplace.Upstream{}
+	for _, u := range list {
+		byPool[u.Pool] = append(byPool[u.Pool], u)
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for name := range r.upstreams {
+		if _, listed := byPool[name]; !listed {
+			byPool[name] = nil
+		}
+	}
+	for name, upstreams := range byPool {
+		r.update(now, name, upstreams)
+	}
+	r.upstreams = byPool
+}
+
+// update gives a pool its upstreams and logs what changed.
+func (r *Router) update(now time.Time, name string, list []hwplace.Upstream) {
+	p := r.pool(name)
+	if p == nil {
+		return
+	}
+	added, left, leaving := p.Update(list)
+	for _, id := range added {
+		r.logger.Emit(hwevent.UpstreamListed, hwevent.With("upstream", id), hwevent.With("pool", name))
+	}
+	for _, id := range leaving {
+		r.logger.Emit(hwevent.UpstreamLeaving, hwevent.With("upstream", id), hwevent.With("pool", name))
+	}
+	for _, id := range append(left, added...) {
+		r.convict(now, id)
+	}
+	for _, id := range left {
+		r.logger.Emit(hwevent.UpstreamGone, hwevent.With("upstream", id), hwevent.With("pool", name))
+	}
+}
+
+// pool returns the state of a pool that the table in force names. The lock must be held.
+func (r *Router) pool(name string) *hwplace.Pool {
+	if p := r.pools[name]; p != nil {
+		return p
+	}
+	table := r.table.Load()
+	if table == nil {
+		return nil
+	}
+	described, known := table.Pool(name)
+	if !known {
+		return nil
+	}
+	tokens := 0
+	if described.Engine != nil {
+		tokens = described.Engine.CacheTokens
+	}
+	p := hwplace.New(r.settings.Place, tokens)
+	p.Update(r.upstreams[name])
+	r.pools[name] = p
+	return p
+}
+
+// budget returns the retry budget of a pool. The lock must be held.
+func (r *Router) budget(now time.Time, name string) *hwretry.Budget {
+	b := r.budgets[name]
+	if b == nil {
+		b = hwretry.NewBudget(now, hwretry.BudgetSettings{
+			Ratio:   r.settings.RetryRatio,
+			Reserve: r.settings.RetryReserve,
+			Trickle: r.settings.RetryReserve / retryRefill.Seconds(),
+		})
+		r.budgets[name] = b
+	}
+	return b
+}
+
+// retryRefill is the time in which an idle budget fills up. It is longer than the window over which upstreams count, so that two reserves never meet in one.
+const retryRefill = 15 * time.Second
+
+// Ready reports whether the router can serve callers.
+func (r *Router) Ready(now time.Time) bool {
+	if r.stopping.Load() || r.table.Load() == nil || !r.fresh(now, r.settings.KeyFreshness) {
+		return false
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for _, list := range r.upstreams {
+		if len(list) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Stop makes the router tell callers to close their connections. Requests are still served.
+func (r *Router) Stop() { r.stopping.Store(true) }
+
+// InFlight returns the number of requests being served.
+func (r *Router) InFlight() int64 { return r.inFlight.Load() }
+
+// draw returns a random number in [0, 1).
+func (r *Router) draw() float64 {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.random.Float64()
+}
--- /dev/null
+++ b/lib/hwforward/run.go
@@ -0,0 +1,344 @@
+package hwforward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwadmit"
+	"github.com/hickorywick/hickorywick/lib/hwerror"
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwlink"
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+)
+
+// outcome is how one attempt ended.
+type outcome int
+
+const (
+	// done means that the caller has the answer.
+	done outcome = iota
+	// notRun means that the request surely did not run at the upstream.
+	notRun
+	// failed means that the request may have run and that no answer to it can be relayed.
+	failed
+)
+
+// attempt is the result of one attempt.
+type attempt struct {
+	outcome outcome
+	// unsent tells that not one byte reached the upstream.
+	unsent bool
+	cause  error
+	// retryAfter is what a refusing upstream asked for.
+	retryAfter time.Duration
+	// spare is an upstream's own failure, which is relayed when no other upstream may be tried.
+	spare *wholeAnswer
+}
+
+// unsentTries bounds the upstreams to which a connection is tried for one request.
+const unsentTries = 4
+
+// run sends the request until an answer is relayed or no further attempt is allowed.
+func (d *delivery) run(ctx context.Context) {
+	unsent := 0
+	for {
+		refusal := d.choose(ctx)
+		if refusal != nil {
+			d.refuse(refusal)
+			return
+		}
+		a := d.try(ctx)
+		if a.outcome == done {
+			return
+		}
+		if ctx.Err() != nil {
+			d.ended(ctx, a)
+			return
+		}
+		if a.unsent {
+			unsent++
+		}
+		if unsent < unsentTries && d.mayTryAgain(a) {
+			d.router.logger.Emit(hwevent.UpstreamRanAgain,
+				hwevent.With("request-id", d.call.ID),
+				hwevent.With("upstream", d.ticket.Upstream),
+				hwevent.With("sends", d.sends),
+				hwevent.With("cause", text(a.cause)))
+			continue
+		}
+		d.giveUp(a)
+		return
+	}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// repeatable reports whether the request may run more than once.
+func (d *delivery) repeatable() bool {
+	if d.route.Streaming {
+		return d.route.Resumable
+	}
+	return d.route.Idempotent
+}
+
+// mayTryAgain reports whether another upstream may get the request after an attempt that did not answer it.
+func (d *delivery) mayTryAgain(a attempt) bool {
+	r := d.router
+	if a.unsent {
+		return true
+	}
+	switch a.outcome {
+	case notRun:
+		// Nothing ran, so any request may go elsewhere.
+		if d.sends > max(1, d.route.MaxAttempts) {
+			return false
+		}
+	default:
+		if !d.repeatable() || d.ran >= max(1, d.route.MaxAttempts) {
+			return false
+		}
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.budget(r.clock.Now(), d.pool).Spend(r.clock.Now())
+}
+
+// giveUp ends a request that no upstream answered and that may not be tried again.
+func (d *delivery) giveUp(a attempt) {
+	switch {
+	case d.headed:
+		d.cut(a.cause)
+	case a.spare != nil:
+		d.relayWhole(a.spare)
+	case d.ran == 0 && (a.outcome == notRun || a.unsent):
+		refusal := refuse(hwerror.KindNoUpstream, "no upstream took the request").WithRetryAfter(max(a.retryAfter, noUpstreamRetry))
+		refusal.Cause = a.cause
+		d.refuse(refusal)
+	default:
+		d.refuse(hwerror.Fail(hwerror.KindUpstreamFailed, hwerror.Unknown, hwevent.RequestFailed.Number, "the upstream failed", a.cause))
+	}
+}
+
+// ended ends a request whose time is over or whose caller has gone.
+func (d *delivery) ended(ctx context.Context, a attempt) {
+	switch {
+	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
+		d.status = hwerror.StatusCallerGone
+		d.log(hwerror.Fail(hwerror.KindCallerGone, hwerror.Unknown, hwevent.CallerGone.Number, "the caller closed its connection", a.cause))
+		panic(http.ErrAbortHandler)
+	case d.headed:
+		d.cut(a.cause)
+	case d.ran == 0:
+		d.refuse(refuse(hwerror.KindDeadline, "the time was over before an upstream took the request"))
+	default:
+		d.refuse(hwerror.Fail(hwerror.KindUpstreamTimeout, hwerror.Unknown, hwevent.RequestFailed.Number, "the time was over before the upstream answered", a.cause))
+	}
+}
+
+// cut ends an answer that has begun and can't be finished. The caller must see that it is cut, so its connection is closed without the end of the body.
+func (d *delivery) cut(cause error) {
+	d.log(hwerror.Fail(hwerror.KindUpstreamFailed, hwerror.Unknown, hwevent.RequestFailed.Number, "the answer was cut off", cause))
+	panic(http.ErrAbortHandler)
+}
+
+// choose picks an upstream. The first time it also decides whether the request is taken.
+func (d *delivery) choose(ctx context.Context) *hwerror.Refusal {
+	r := d.router
+	now := r.clock.Now()
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	pool := r.pool(d.pool)
+	if pool == nil {
+		return refuse(hwerror.KindNoUpstream, "the route's pool is not known").WithRetryAfter(noUpstreamRetry)
+	}
+	ask := hwplace.Ask{
+		Prompt:   d.prompt,
+		Excluded: d.excluded,
+		Draw:     r.random.Float64(),
+		Probing:  d.repeatable(),
+	}
+	choice, found := pool.Choose(now, ask)
+	if !found && len(d.excluded) > 0 && ctx.Err() == nil {
+		// Every upstream was tried; one that only refused may be asked once more.
+		ask.Excluded = nil
+		choice, found = pool.Choose(now, ask)
+	}
+	if !found {
+		if d.ran > 0 {
+			return hwerror.Fail(hwerror.KindUpstreamFailed, hwerror.Unknown, hwevent.RequestFailed.Number, "no other upstream is left", nil)
+		}
+		return refuse(hwerror.KindNoUpstream, "the pool has no upstream").WithRetryAfter(noUpstreamRetry)
+	}
+	if d.sends == 0 {
+		if refusal := d.take(now, choice, pool.Engine()); refusal != nil {
+			return refusal
+		}
+	}
+	d.sends++
+	d.choice = choice
+	d.ticket = pool.Begin(now, choice, ask)
+	if pool.Engine() {
+		for _, link := range d.prompt.Links() {
+			r.news.Readings = append(r.news.Readings, Reading{
+				Pool:     d.pool,
+				Upstream: choice.Upstream.ID,
+				Link:     link,
+			})
+		}
+	}
+	return nil
+}
+
+// take decides whether the request is taken. The lock must be held.
+func (d *delivery) take(now time.Time, choice hwplace.Choice, engine bool) *hwerror.Refusal {
+	r := d.router
+	if engine && d.account != "" {
+		r.shares.Asked(now, d.account, d.cost)
+		d.ratio = r.shares.Ratio(now, d.account, r.table.Load().Limits().TokensPerSecond)
+	}
+	d.wait = choice.Wait
+	verdict := r.settings.Admit.Decide(hwadmit.Request{
+		Wait:      choice.Wait,
+		Objective: d.route.Objective,
+		Ratio:     d.ratio,
+		Draw:      r.random.Float64(),
+	})
+	if !verdict.Admitted {
+		return refuse(hwerror.KindDeadline, "the wait would be too long").WithRetryAfter(verdict.RetryAfter)
+	}
+	if engine && d.account != "" {
+		r.shares.Given(now, d.account, d.cost)
+	}
+	return nil
+}
+
+// try makes one attempt at the chosen upstream.
+func (d *delivery) try(ctx context.Context) attempt {
+	r := d.router
+	// The end of the attempt ends the exchange, whatever way it is left.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	now := r.clock.Now()
+	answer, failure := r.links.Do(ctx, now, &hwlink.Request{
+		Address: d.choice.Upstream.Address,
+		Method:  d.request.Method,
+		Target:  target(d.request),
+		Host:    d.request.Host,
+		Header: r.edge.Forward(d.request.Header, Send{
+			Left:        d.deadline.Sub(now),
+			Expect:      d.choice.Upstream.ID,
+			Account:     d.account,
+			FetchFrom:   d.choice.FetchFrom,
+			ResumeAfter: d.resumeAfter(),
+		}),
+		Body:     d.body,
+		ID:       d.call.ID,
+		IDHeader: r.edge.IDHeader(),
+	})
+	if failure != nil {
+		if failure.HandedOver {
+			d.ran++
+		}
+		d.finish(ctx, true, failure.Broken && failure.HandedOver)
+		d.excluded = append(d.excluded, d.choice.Upstream.ID)
+		return attempt{
+			outcome: failed,
+			unsent:  !failure.HandedOver,
+			cause:   failure,
+		}
+	}
+	defer answer.Close()
+	facts := r.edge.Facts(answer.Status, answer.Header)
+	if facts.Load != nil {
+		r.lock.Lock()
+		if p := r.pools[d.pool]; p != nil {
+			p.Report(r.clock.Now(), d.choice.Upstream.ID, *facts.Load)
+		}
+		r.lock.Unlock()
+	}
+	if facts.NotRun {
+		return d.refusedByUpstream(ctx, answer)
+	}
+	d.ran++
+	if d.route.Streaming && answer.Status == http.StatusOK && facts.Signed {
+		return d.relayStream(ctx, answer)
+	}
+	return d.whole(ctx, answer, facts)
+}
+
+// resumeAfter returns the last event that the caller has, of this answer or of the one that it asks to go on with.
+func (d *delivery) resumeAfter() string {
+	if d.lastEvent != "" {
+		return d.lastEvent
+	}
+	return d.call.ResumeAfter
+}
+
+// refusedByUpstream ends an attempt that the upstream says it did not run.
+func (d *delivery) refusedByUpstream(ctx context.Context, answer *hwlink.Answer) attempt {
+	if _, err := readBounded(answer.Body, answer.Length); err == nil {
+		answer.Finish(d.router.clock.Now())
+	}
+	d.finish(ctx, answer.Status == http.StatusMisdirectedRequest, false)
+	d.excluded = append(d.excluded, d.choice.Upstream.ID)
+	return attempt{
+		outcome: notRun,
+		cause: &UpstreamRefusedError{
+			Upstream: d.choice.Upstream.ID,
+			Status:   answer.Status,
+		},
+	}
+}
+
+// UpstreamRefusedError is the cause when an upstream says that it did not run a request.
+type UpstreamRefusedError struct {
+	Upstream string
+	Status   int
+}
+
+// Error names the upstream.
+func (e *UpstreamRefusedError) Error() string {
+	return "upstream " + e.Upstream + " refused with " + http.StatusText(e.Status)
+}
+
+// finish gives the ticket back. Blame counts against the upstream; broken tells that its connection broke while the request was there.
+func (d *delivery) finish(ctx context.Context, blame, broken bool) {
+	r := d.router
+	now := r.clock.Now()
+	// What the caller or the time limit ended says nothing about the upstream.
+	ours := ctx.Err() != nil
+	r.lock.Lock()
+	if p := r.pools[d.pool]; p != nil {
+		p.Ended(now, d.ticket, blame && !ours)
+	}
+	r.lock.Unlock()
+	if blame && !ours {
+		r.logger.Emit(hwevent.UpstreamFailed,
+			hwevent.With("request-id", d.call.ID),
+			hwevent.With("upstream", d.choice.Upstream.ID),
+			hwevent.With("broken", broken),
+			hwevent.With("trouble", d.choice.Trouble))
+	}
+	if broken && !ours {
+		r.links.Forget(d.choice.Upstream.Address)
+		r.suspect(ctx, now, d, d.choice.Upstream.ID, d.choice.Upstream.Address)
+	}
+}
+
+// answered notes the first sign of the run at the upstream.
+func (d *delivery) answered() {
+	r := d.router
+	now := r.clock.Now()
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if p := r.pools[d.pool]; p != nil {
+		p.Answered(now, d.ticket)
+	}
+}
--- /dev/null
+++ b/lib/hwforward/whole.go
@@ -0,0 +1,144 @@
+package hwforward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/hickorywick/hickorywick/lib/hwlink"
+)
+
+// wholeAnswer is an answer that was read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+	signed bool
+}
+
+// largestAnswer bounds an answer that is read whole, in bytes.
+const largestAnswer = 16 << 20
+
+// AnswerError is the cause when an upstream's answer can't be relayed.
+type AnswerError struct {
+	What string
+}
+
+// Error says what is wrong.
+func (e *AnswerError) Error() string { return "the upstream's answer " + e.What }
+
+// readBounded reads a body to its end.
+func readBounded(body io.Reader, length int64) ([]byte, error) {
+	if length >= 0 && length <= largestAnswer {
+		buffer := make([]byte, length)
+		if _, err := io.ReadFull(body, buffer); err != nil {
+			return nil, err
+		}
+		// The reader notes the end of the body with the next read.
+		if n, err := body.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+			return nil, &AnswerError{
+				What: "is longer than announced",
+			}
+		}
+		return buffer, nil
+	}
+	all, err := io.ReadAll(io.LimitReader(body, largestAnswer+1))
+	if err == nil && len(all) > largestAnswer {
+		return nil, &AnswerError{
+			What: "is too large",
+		}
+	}
+	return all, err
+}
+
+// whole reads an answer to its end and relays it, so that one that breaks off never reaches the caller.
+func (d *delivery) whole(ctx context.Context, answer *hwlink.Answer, facts Facts) attempt {
+	r := d.router
+	body, err := readBounded(answer.Body, answer.Length)
+	if err != nil {
+		d.finish(ctx, true, true)
+		d.excluded = append(d.excluded, d.choice.Upstream.ID)
+		return attempt{
+			outcome: failed,
+			cause:   err,
+		}
+	}
+	answer.Finish(r.clock.Now())
+	whole := &wholeAnswer{
+		status: answer.Status,
+		header: answer.Header,
+		body:   body,
+		signed: facts.Signed,
+	}
+	if fault := d.fault(whole); fault != "" {
+		d.finish(ctx, true, false)
+		d.excluded = append(d.excluded, d.choice.Upstream.ID)
+		return attempt{
+			outcome: failed,
+			cause: &AnswerError{
+				What: fault,
+			},
+		}
+	}
+	d.answered()
+	bad := whole.status >= http.StatusInternalServerError
+	d.finish(ctx, bad, false)
+	if bad {
+		d.excluded = append(d.excluded, d.choice.Upstream.ID)
+		return attempt{
+			outcome: failed,
+			spare:   whole,
+			cause: &AnswerError{
+				What: "is a failure, " + strconv.Itoa(whole.status),
+			},
+		}
+	}
+	d.relayWhole(whole)
+	r.acquit(r.clock.Now(), d.fingerprint)
+	return attempt{
+		outcome: done,
+	}
+}
+
+// fault returns why an answer must not be relayed, or nothing.
+func (d *delivery) fault(w *wholeAnswer) string {
+	switch {
+	case w.header.Get("Content-Encoding") != "":
+		return "is encoded though nobody asked for it"
+	case w.status < http.StatusMultipleChoices && !w.signed:
+		return "is not signed"
+	case promises(w.status):
+		// To the caller the status would promise that the request has not run, which this answer does not prove.
+		return "has status " + strconv.Itoa(w.status) + " without saying that the request did not run"
+	default:
+		return ""
+	}
+}
+
+// promises reports whether a status tells a caller that its request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// relayWhole writes an upstream's answer.
+func (d *delivery) relayWhole(w *wholeAnswer) {
+	h := d.writer.Header()
+	d.router.edge.Relay(h, w.header)
+	h.Set("Content-Length", strconv.Itoa(len(w.body)))
+	d.status = w.status
+	d.firstByte = d.router.clock.Now()
+	d.headed = true
+	d.extendWrite()
+	d.writer.WriteHeader(w.status)
+	_, err := d.writer.Write(w.body)
+	d.log(nil)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/lib/hwfront/server.go
@@ -0,0 +1,154 @@
+// Package hwfront serves a router's listeners: callers, the platform's readiness question, and metrics. It lets a router stop without cutting a request.
+package hwfront
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwforward"
+	"github.com/hickorywick/hickorywick/lib/hwtask"
+)
+
+// Settings are the listeners and times of a server.
+type Settings struct {
+	Instance string
+	// Callers, Ready and Metrics are addresses; an empty one is not served.
+	Callers string
+	Ready   string
+	Metrics string
+	// ReadyPath is where the platform asks whether the instance takes callers, MetricsPath where metrics are read.
+	ReadyPath   string
+	MetricsPath string
+	// HeaderTimeout bounds a request's head, IdleTimeout the pause between two requests of a connection.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+	HeaderBytes   int
+	// DrainTime is how long a stopping server still takes connections, until the platform has seen that it is not ready.
+	DrainTime time.Duration
+	// StopTime is how long a stopping server may take as a whole.
+	StopTime time.Duration
+}
+
+// Server serves a router.
+type Server struct {
+	settings Settings
+	router   *hwforward.Router
+	logger   *hwevent.Logger
+	now      func() time.Time
+	servers  []*http.Server
+}
+
+// New returns a server that does not listen yet.
+func New(settings Settings, router *hwforward.Router, logger *hwevent.Logger, now func() time.Time) *Server {
+	return &Server{
+		settings: settings,
+		router:   router,
+		logger:   logger,
+		now:      now,
+	}
+}
+
+// Start listens and serves until Stop. It is one half of kratos's server interface.
+func (s *Server) Start(ctx context.Context) error {
+	tasks := make([]<-chan error, 0, listeners)
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{address: s.settings.Callers, handler: s.router},
+		{address: s.settings.Ready, handler: s.readiness()},
+		{address: s.settings.Metrics, handler: s.metrics()},
+	} {
+		if l.address == "" {
+			continue
+		}
+		var config net.ListenConfig
+		listener, err := config.Listen(ctx, "tcp4", l.address)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		server := &http.Server{
+			Handler:           l.handler,
+			ReadHeaderTimeout: s.settings.HeaderTimeout,
+			IdleTimeout:       s.settings.IdleTimeout,
+			MaxHeaderBytes:    s.settings.HeaderBytes,
+			ErrorLog:          hwevent.StandardLogger(s.logger, hwevent.LibraryLine),
+		}
+		s.servers = append(s.servers, server)
+		tasks = append(tasks, hwtask.Start(ctx, func(context.Context) error {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				return trace.Wrap(err)
+			}
+			return nil
+		}))
+	}
+	s.logger.Emit(hwevent.RouterStarted, hwevent.With("instance", s.settings.Instance), hwevent.With("callers", s.settings.Callers))
+	return hwtask.Join(tasks...)
+}
+
+// listeners is the number of listeners that a server may have.
+const listeners = 3
+
+// readiness answers the platform's question with the status alone.
+func (s *Server) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		switch {
+		case request.URL.Path != s.settings.ReadyPath:
+			w.WriteHeader(http.StatusNotFound)
+		case s.router.Ready(s.now()):
+			w.WriteHeader(http.StatusOK)
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func (s *Server) metrics() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path != s.settings.MetricsPath {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		s.router.WriteMetrics(w, s.now())
+	})
+}
+
+// idlePoll is how often a stopping server looks whether requests are in flight.
+const idlePoll = 50 * time.Millisecond
+
+// Stop lets the platform see that the instance is not ready, serves what comes until then, and finishes what is in flight. It is the other half of kratos's server interface.
+func (s *Server) Stop(ctx context.Context) error {
+	began := s.now()
+	s.router.Stop()
+	s.logger.Emit(hwevent.RouterStopping, hwevent.With("instance", s.settings.Instance), hwevent.With("in-flight", s.router.InFlight()))
+	ctx, cancel := context.WithTimeout(ctx, s.settings.StopTime)
+	defer cancel()
+	for ctx.Err() == nil && (s.now().Sub(began) < s.settings.DrainTime || s.router.InFlight() > 0) {
+		pause(ctx, idlePoll)
+	}
+	failures := make([]error, 0, len(s.servers))
+	for _, server := range s.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			// What is still in flight is cut: its caller sees that the answer is not whole.
+			failures = append(failures, err, server.Close())
+		}
+	}
+	s.logger.Emit(hwevent.RouterStopped, hwevent.With("instance", s.settings.Instance), hwevent.With("in-flight", s.router.InFlight()), hwevent.With("ms", s.now().Sub(began).Milliseconds()))
+	return trace.NewAggregate(failures...)
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/lib/hwlink/link.go
@@ -0,0 +1,468 @@
+// Package hwlink exchanges HTTP/1.1 requests and answers with upstreams over connections that it keeps itself, and says truthfully how far each exchange got.
+//
+// The standard library's transport sends some requests again by itself when a kept connection breaks. Here nothing is ever sent twice: a request is written to one connection at most, and what happened to it is reported.
+package hwlink
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Settings bound connections to upstreams.
+type Settings struct {
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// IdleTime is how long a connection is kept when the upstream states no time of its own.
+	IdleTime time.Duration
+	// IdleMargin is how much earlier than the upstream's own idle timeout a connection is given up, so that a request does not cross its close.
+	IdleMargin time.Duration
+	// IdlePerUpstream bounds the connections that are kept for one upstream.
+	IdlePerUpstream int
+	// SilenceTimeout is how long a connection may leave sent bytes without an acknowledgement. It also paces the keep-alive probes that find a connection which something between the ends has forgotten.
+	SilenceTimeout time.Duration
+}
+
+// Request is what goes to an upstream.
+type Request struct {
+	Address string
+	Method  string
+	// Target is the request target as the caller sent it.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// ID and IDHeader let an answer be checked: one that echoes another id belongs to another request.
+	ID       string
+	IDHeader string
+	// Fresh asks for a new connection.
+	Fresh bool
+}
+
+// Failure says how far a failed exchange got.
+type Failure struct {
+	Address string
+	// HandedOver tells that bytes of the request may have reached the upstream.
+	HandedOver bool
+	// Crossed tells that an answer to another request came.
+	Crossed bool
+	// Broken tells that the connection broke, as it does when the upstream crashes.
+	Broken bool
+	Cause  error
+}
+
+// Error names the upstream and the cause.
+func (f *Failure) Error() string {
+	return "the exchange with " + f.Address + " failed: " + f.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// CrossedError is the cause when an answer belongs to another request.
+type CrossedError struct {
+	Want string
+	Got  string
+}
+
+// Error says which ids differ.
+func (e *CrossedError) Error() string {
+	return "the answer carried id " + e.Got + " in place of " + e.Want
+}
+
+// FramingError is the cause when an answer's frame can't be relied on.
+type FramingError struct {
+	What string
+}
+
+// Error says what is wrong.
+func (e *FramingError) Error() string { return "the answer " + e.What }
+
+// conn is a connection and its reader.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// until is when the connection must not be used any more.
+	until time.Time
+	kept  bool
+}
+
+// Links keeps the connections to all upstreams.
+type Links struct {
+	settings Settings
+	dialer   net.Dialer
+	lock     sync.Mutex
+	idle     map[string][]*conn
+	opened   int64
+}
+
+// New returns links without connections.
+func New(settings Settings) *Links {
+	return &Links{
+		settings: settings,
+		dialer:   Dialer(settings.DialTimeout, settings.SilenceTimeout),
+		idle:     map[string][]*conn{},
+	}
+}
+
+// Dialer returns a dialer whose connections notice within about the silence timeout that the other end can't be reached any more.
+func Dialer(dial, silence time.Duration) net.Dialer {
+	return net.Dialer{
+		Timeout: dial,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     silence / 2,
+			Interval: silence / 4,
+			Count:    2,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failure error
+			err := raw.Control(func(fd uintptr) {
+				failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failure
+		},
+	}
+}
+
+// Opened returns the number of connections opened so far.
+func (l *Links) Opened() int64 {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.opened
+}
+
+// Forget closes the idle connections to an upstream.
+func (l *Links) Forget(address string) {
+	l.lock.Lock()
+	idle := l.idle[address]
+	delete(l.idle, address)
+	l.lock.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
+// take returns a sound idle connection, the one used last first.
+func (l *Links) take(now time.Time, address string) *conn {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	idle := l.idle[address]
+	for len(idle) > 0 {
+		c := idle[len(idle)-1]
+		idle = idle[:len(idle)-1]
+		l.idle[address] = idle
+		if now.Before(c.until) && quiet(c) {
+			return c
+		}
+		_ = c.Close()
+	}
+	delete(l.idle, address)
+	return nil
+}
+
+// quiet reports whether nothing came on an idle connection: neither its end nor bytes that belong to no request.
+func quiet(c *conn) bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	sound := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, err := unix.Read(int(fd), one[:])
+		sound = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && sound
+}
+
+func (l *Links) put(now time.Time, address string, c *conn, keep time.Duration) {
+	c.until = now.Add(keep)
+	c.kept = true
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	idle := l.idle[address]
+	if keep <= 0 || len(idle) >= l.settings.IdlePerUpstream {
+		_ = c.Close()
+		return
+	}
+	l.idle[address] = append(idle, c)
+}
+
+func (l *Links) dial(ctx context.Context, address string) (*conn, error) {
+	l.lock.Lock()
+	l.opened++
+	l.lock.Unlock()
+	c, err := l.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{
+		Conn:   c,
+		reader: bufio.NewReaderSize(c, readBuffer),
+	}, nil
+}
+
+// readBuffer is small because most connections carry small events; larger reads pass it by. In bytes.
+const readBuffer = 4 << 10
+
+// head returns the request's head as it goes over the wire.
+func head(r *Request) []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	// Writing to a buffer does not fail.
+	_ = r.Header.Write(&b)
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// smallBody is the size up to which head and body are written together before the answer is read, in bytes: it fits the socket's buffer.
+const smallBody = 32 << 10
+
+// Do sends a request and returns the head of its answer. Cancelling the context closes the connection, which ends the run at the upstream.
+func (l *Links) Do(ctx context.Context, now time.Time, r *Request) (*Answer, *Failure) {
+	var c *conn
+	if !r.Fresh {
+		c = l.take(now, r.Address)
+	}
+	if c == nil {
+		opened, err := l.dial(ctx, r.Address)
+		if err != nil {
+			return nil, &Failure{
+				Address: r.Address,
+				Broken:  true,
+				Cause:   err,
+			}
+		}
+		c = opened
+	}
+	// The context's end wakes whatever waits on the connection.
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	a := &Answer{
+		links:   l,
+		conn:    c,
+		stop:    stop,
+		ended:   ctx.Err,
+		request: r,
+	}
+	if err := a.send(); err != nil {
+		a.Close()
+		return nil, &Failure{
+			Address:    r.Address,
+			HandedOver: true,
+			Broken:     true,
+			Cause:      err,
+		}
+	}
+	if failure := a.readHead(); failure != nil {
+		a.Close()
+		return nil, failure
+	}
+	return a, nil
+}
+
+// Answer is an upstream's answer whose head was read. Close must be called; Finish before it keeps the connection.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the body's length, or -1 when it is not known in advance.
+	Length int64
+	Body   io.Reader
+
+	links *Links
+	conn  *conn
+	stop  func() bool
+	// ended returns an error once the exchange was cancelled.
+	ended   func() error
+	request *Request
+	// written is set for a body that is written beside the reading; it is closed when all is written.
+	written chan error
+	// unframed answers end with their connection.
+	unframed bool
+	closing  bool
+	closed   bool
+}
+
+// send writes the request. A long body is written beside the reading of the answer, because an upstream may answer before it has read it.
+func (a *Answer) send() error {
+	top := head(a.request)
+	if len(a.request.Body) <= smallBody {
+		_, err := a.conn.Write(append(top, a.request.Body...))
+		return err
+	}
+	if _, err := a.conn.Write(top); err != nil {
+		return err
+	}
+	a.written = make(chan error, 1)
+	go func(_ context.Context) {
+		_, err := a.conn.Write(a.request.Body)
+		a.written <- err
+		close(a.written)
+	}(context.Background())
+	return nil
+}
+
+// strayAnswers bounds the answers to other requests that are skipped on one connection.
+const strayAnswers = 2
+
+// readHead reads the answer's head. An answer that echoes another id came late for an earlier request: it is skipped if its length is known.
+func (a *Answer) readHead() *Failure {
+	for skipped := 0; ; skipped++ {
+		response, err := http.ReadResponse(a.conn.reader, &http.Request{
+			Method: a.request.Method,
+		})
+		if err != nil {
+			return a.failed(err, broken(err))
+		}
+		if response.StatusCode < http.StatusOK {
+			skipped--
+			continue
+		}
+		echoed := response.Header.Get(a.request.IDHeader)
+		if a.request.IDHeader == "" || echoed == "" || echoed == a.request.ID {
+			a.take(response)
+			return nil
+		}
+		crossed := a.failed(&CrossedError{
+			Want: a.request.ID,
+			Got:  echoed,
+		}, false)
+		crossed.Crossed = true
+		if skipped >= strayAnswers || response.ContentLength < 0 {
+			return crossed
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return crossed
+		}
+	}
+}
+
+// broken reports whether a failed read says that the connection ended, in place of carrying bytes that are no answer.
+func broken(err error) bool {
+	var network *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
+}
+
+func (a *Answer) take(response *http.Response) {
+	a.Status = response.StatusCode
+	a.Header = response.Header
+	a.Length = response.ContentLength
+	a.Body = response.Body
+	a.closing = response.Close
+	a.unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0 && a.request.Method != http.MethodHead
+}
+
+func (a *Answer) failed(cause error, broken bool) *Failure {
+	return &Failure{
+		Address:    a.request.Address,
+		HandedOver: true,
+		Broken:     broken,
+		Cause:      cause,
+	}
+}
+
+// Unframed reports whether the answer has no length and ends with its connection.
+func (a *Answer) Unframed() bool { return a.unframed }
+
+// SetReadDeadline bounds the wait for the next bytes of the answer.
+func (a *Answer) SetReadDeadline(at time.Time) error {
+	if err := a.conn.SetReadDeadline(at); err != nil {
+		return err
+	}
+	// The cancellation may have set its own deadline just before.
+	if err := a.ended(); err != nil {
+		return err
+	}
+	return nil
+}
+
+// Finish keeps the connection for another request if there is no doubt about it. The body must have been read to its end.
+func (a *Answer) Finish(now time.Time) {
+	if a.closed {
+		return
+	}
+	if a.unframed || a.closing || a.conn.reader.Buffered() > 0 || !a.allWritten() || !a.stop() {
+		a.Close()
+		return
+	}
+	if a.conn.SetDeadline(time.Time{}) != nil {
+		a.Close()
+		return
+	}
+	a.closed = true
+	a.links.put(now, a.request.Address, a.conn, a.links.keepFor(a.Header))
+}
+
+// allWritten reports whether the whole request went out.
+func (a *Answer) allWritten() bool {
+	if a.written == nil {
+		return true
+	}
+	select {
+	case err := <-a.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// keepFor returns how long a connection may stay idle after an answer.
+func (l *Links) keepFor(header http.Header) time.Duration {
+	for _, word := range strings.Split(header.Get("Keep-Alive"), ",") {
+		if value, found := strings.CutPrefix(strings.TrimSpace(word), "timeout="); found {
+			if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
+				return min(l.settings.IdleTime, time.Duration(seconds)*time.Second-l.settings.IdleMargin)
+			}
+		}
+	}
+	return l.settings.IdleTime
+}
+
+// Close closes the connection, which ends the request's run at the upstream if it still goes on.
+func (a *Answer) Close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	a.stop()
+	_ = a.conn.Close()
+}
+
+// Listens reports whether an upstream takes a new connection.
+func (l *Links) Listens(ctx context.Context, address string) bool {
+	c, err := l.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
--- /dev/null
+++ b/lib/hwplace/pool.go
@@ -0,0 +1,353 @@
+// Package hwplace decides which upstream of a pool runs a request, from the work that waits there, the parts of the prompt that it holds, and how it has answered lately.
+//
+// Work at engines is measured in prompt tokens that have to be read, because reading prompts, not the number of requests, is what keeps a first token waiting. Work at plain services is measured in requests.
+package hwplace
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwprompt"
+)
+
+// Upstream is one replica as its list names it.
+type Upstream struct {
+	ID      string
+	Address string
+	Zone    string
+	Pool    string
+	Slots   int
+	// Started tells one start of a replica from the next under the same id.
+	Started int64
+	// Leaving upstreams get no new work.
+	Leaving bool
+	// Version is the version of its weights, or 0.
+	Version int
+}
+
+// Settings weigh the reasons to prefer an upstream. All times are in milliseconds, as scores are.
+type Settings struct {
+	// Zone is where the router runs.
+	Zone string
+	// ZonePenalty is the added score of another zone.
+	ZonePenalty float64
+	// TokensPerMS is how many prompt tokens an engine reads in a millisecond until answers have shown better.
+	TokensPerMS float64
+	// LoadWeight scales the wait behind other work, MissWeight the reading of what is not cached.
+	LoadWeight float64
+	MissWeight float64
+	// FetchPart is what a token fetched from another upstream's cache costs, as a part of reading it.
+	FetchPart float64
+	// FetchTokens is the smallest number of tokens that are worth a fetch.
+	FetchTokens int
+	// CachePart is the part of an engine's memory that is believed to hold prompts.
+	CachePart float64
+	// HomeDiscount is the part of a prompt that counts as held by the upstream where the others would read it first.
+	HomeDiscount float64
+	// RequestMS is the time of a plain service's request until answers have shown better.
+	RequestMS float64
+}
+
+// Load is what an upstream says about itself in an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	// SlowPercent is how long work takes at present; 100 is as usual.
+	SlowPercent int
+}
+
+// PeerLoad is another router's work at an upstream.
+type PeerLoad struct {
+	Upstream string
+	Tokens   float64
+	Running  int
+}
+
+// Ask describes a request that looks for an upstream.
+type Ask struct {
+	Prompt hwprompt.Prompt
+	// Excluded were tried already.
+	Excluded []string
+	// Draw lies in [0, 1) and breaks ties.
+	Draw float64
+	// Probing requests may go to an upstream that has failed lately; a request that can run only once should not.
+	Probing bool
+}
+
+// Choice is where a request goes and why.
+type Choice struct {
+	Upstream Upstream
+	// Wait is the estimated time behind other work, without the request's own reading.
+	Wait time.Duration
+	// Read is the number of prompt tokens that the upstream has to read.
+	Read int
+	// FetchFrom is the address of an upstream whose cache holds more of the prompt, or empty.
+	FetchFrom string
+	// Idle tells that fewer than half of the upstream's slots are taken and nothing waits.
+	Idle bool
+	// Trouble is the upstream's recent failures.
+	Trouble float64
+}
+
+// Ticket is a request at an upstream. Its owner gives it back with Answered and Ended.
+type Ticket struct {
+	Upstream string
+	started  time.Time
+	tokens   float64
+	// ahead is the work that was there before, for learning the rate.
+	ahead     float64
+	answered  bool
+	ended     bool
+	plainWork bool
+}
+
+// Pool keeps what is believed about the upstreams of one pool.
+type Pool struct {
+	settings Settings
+	engine   bool
+	capacity int
+	members  map[string]*member
+	index    *hwprompt.Index
+	peers    map[string]peerReport
+	rate     rate
+	// requestMS is the learned time of a plain request.
+	requestMS float64
+}
+
+type peerReport struct {
+	at    time.Time
+	loads map[string]PeerLoad
+}
+
+// New returns a pool without upstreams. CacheTokens is 0 for a plain service.
+func New(settings Settings, cacheTokens int) *Pool {
+	return &Pool{
+		settings: settings,
+		engine:   cacheTokens > 0,
+		capacity: int(float64(cacheTokens) * settings.CachePart),
+		members:  map[string]*member{},
+		index:    hwprompt.NewIndex(),
+		peers:    map[string]peerReport{},
+		rate: rate{
+			tokensPerMS: settings.TokensPerMS,
+		},
+		requestMS: settings.RequestMS,
+	}
+}
+
+// Engine reports whether the pool's upstreams are model engines.
+func (p *Pool) Engine() bool { return p.engine }
+
+// Update replaces the list of upstreams. It returns the ids of those that are new, that left or that began to leave.
+func (p *Pool) Update(upstreams []Upstream) (added, left, leaving []string) {
+	listed := map[string]bool{}
+	for _, u := range upstreams {
+		listed[u.ID] = true
+		m := p.members[u.ID]
+		if m == nil || m.upstream.Started != u.Started || m.upstream.Address != u.Address {
+			// Another start under the same id holds nothing of before.
+			p.index.Forget(u.ID)
+			m = &member{}
+			p.members[u.ID] = m
+			added = append(added, u.ID)
+		} else if u.Leaving && !m.upstream.Leaving {
+			leaving = append(leaving, u.ID)
+		}
+		m.upstream = u
+	}
+	for id := range p.members {
+		if !listed[id] {
+			delete(p.members, id)
+			p.index.Forget(id)
+			left = append(left, id)
+		}
+	}
+	return added, left, leaving
+}
+
+// Upstreams returns the number of upstreams that take new work.
+func (p *Pool) Upstreams() int {
+	count := 0
+	for _, m := range p.members {
+		if !m.upstream.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// SetPeer replaces what another router says of its work here.
+func (p *Pool) SetPeer(now time.Time, router string, loads []PeerLoad) {
+	report := peerReport{
+		at:    now,
+		loads: make(map[string]PeerLoad, len(loads)),
+	}
+	for _, l := range loads {
+		report.loads[l.Upstream] = l
+	}
+	p.peers[router] = report
+}
+
+// peerReportAge is how long a peer's report counts; a peer that says nothing for longer has probably gone.
+const peerReportAge = 1500 * time.Millisecond
+
+// elsewhere sums the other routers' work at an upstream.
+func (p *Pool) elsewhere(now time.Time, id string) PeerLoad {
+	sum := PeerLoad{}
+	for _, report := range p.peers {
+		if now.Sub(report.at) > peerReportAge {
+			continue
+		}
+		l := report.loads[id]
+		sum.Tokens += l.Tokens
+		sum.Running += l.Running
+	}
+	return sum
+}
+
+// Loads returns the router's own work, for its peers.
+func (p *Pool) Loads() []PeerLoad {
+	loads := make([]PeerLoad, 0, len(p.members))
+	for id, m := range p.members {
+		if m.running > 0 {
+			loads = append(loads, PeerLoad{
+				Upstream: id,
+				Tokens:   m.tokens,
+				Running:  m.running,
+			})
+		}
+	}
+	return loads
+}
+
+// Hold notes that an upstream read a part for another router.
+func (p *Pool) Hold(upstream string, link hwprompt.Link) {
+	if p.members[upstream] != nil {
+		p.index.Hold(upstream, link, p.capacity)
+	}
+}
+
+// Choose returns the best upstream for a request, or false when none may take it.
+func (p *Pool) Choose(now time.Time, ask Ask) (Choice, bool) {
+	var best Choice
+	lowest := math.Inf(1)
+	holder, held := p.holder(now, ask)
+	home := p.home(ask.Prompt)
+	for id, m := range p.members {
+		if m.upstream.Leaving || slices.Contains(ask.Excluded, id) {
+			continue
+		}
+		choice, score := p.weigh(now, m, ask, holder, held)
+		if id == home {
+			score -= p.settings.HomeDiscount * float64(choice.Read) / p.rate.tokensPerMS
+		}
+		score += tieBreak(id, ask.Draw)
+		if score < lowest {
+			best = choice
+			lowest = score
+		}
+	}
+	return best, !math.IsInf(lowest, 1)
+}
+
+// tieBreak is below a millisecond and differs by upstream and draw, so that equals are not always taken in the same order.
+func tieBreak(id string, draw float64) float64 {
+	return float64(hwprompt.Rank(math.Float64bits(draw), id)>>40) / (1 << 24)
+}
+
+// weigh returns what a request would find at an upstream and its score in milliseconds; the lowest score is best.
+func (p *Pool) weigh(now time.Time, m *member, ask Ask, holder *member, held int) (Choice, float64) {
+	other := p.elsewhere(now, m.upstream.ID)
+	running := m.running + other.Running
+	slots := max(1, m.upstream.Slots)
+	choice := Choice{
+		Upstream: m.upstream,
+		Idle:     2*running < slots,
+		Trouble:  m.trouble(now),
+	}
+	score := choice.Trouble * troubleMS
+	if !ask.Probing {
+		score += choice.Trouble * troubleMS
+	}
+	score += m.silence(now)
+	if m.upstream.Zone != p.settings.Zone {
+		score += p.settings.ZonePenalty
+	}
+	slow := m.slowness(now)
+	if !p.engine {
+		wait := p.requestMS * slow * float64(max(0, running-slots+1)) / float64(slots)
+		choice.Wait = milliseconds(wait)
+		return choice, score + wait + p.requestMS*slow*(1+float64(running)/float64(slots))
+	}
+	cached := p.index.Cached(m.upstream.ID, ask.Prompt)
+	choice.Read = ask.Prompt.Tokens() - cached
+	readMS := float64(choice.Read)
+	if fetched := held - cached; holder != nil && holder != m && fetched >= p.settings.FetchTokens {
+		choice.FetchFrom = holder.upstream.Address
+		choice.Read -= fetched
+		readMS -= float64(fetched) * (1 - p.settings.FetchPart)
+	}
+	tokens := m.tokens + other.Tokens
+	wait := slow * tokens / p.rate.tokensPerMS
+	// A request that finds no slot waits until one of the running ends.
+	if running >= slots {
+		wait += fullMS * float64(running-slots+1) / float64(slots)
+	}
+	choice.Wait = milliseconds(wait)
+	score += p.settings.LoadWeight*(wait+slotMS*float64(running)/float64(slots)) + p.settings.MissWeight*slow*readMS/p.rate.tokensPerMS
+	return choice, score
+}
+
+const (
+	// troubleMS is the score of one recent failure, in milliseconds: a failed request costs its caller about that.
+	troubleMS = 400
+	// fullMS is the wait for a slot when all are taken and as many requests wait, in milliseconds: the length of a typical stream.
+	fullMS = 2000
+	// slotMS is the score of a full batch, in milliseconds: tokens come more slowly the more requests run.
+	slotMS = 200
+)
+
+// home returns the upstream where all routers would read the prompt's deepest shared part first.
+func (p *Pool) home(prompt hwprompt.Prompt) string {
+	chain, shared := prompt.Shared()
+	if !shared {
+		return ""
+	}
+	home := ""
+	highest := uint64(0)
+	for id, m := range p.members {
+		if m.upstream.Leaving {
+			continue
+		}
+		if rank := hwprompt.Rank(chain, id); home == "" || rank > highest {
+			home = id
+			highest = rank
+		}
+	}
+	return home
+}
+
+// holder returns the sound upstream that holds most of a prompt, and how many tokens.
+func (p *Pool) holder(now time.Time, ask Ask) (*member, int) {
+	if !p.engine || p.settings.FetchTokens <= 0 {
+		return nil, 0
+	}
+	var best *member
+	most := 0
+	for id, m := range p.members {
+		if m.upstream.Leaving || m.trouble(now) >= 1 || m.silence(now) > 0 {
+			continue
+		}
+		if held := p.index.Cached(id, ask.Prompt); held > most {
+			best = m
+			most = held
+		}
+	}
+	return best, most
+}
+
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
--- /dev/null
+++ b/lib/hwplace/ticket.go
@@ -0,0 +1,83 @@
+package hwplace
+
+import "time"
+
+// Begin notes that a request is sent as chosen.
+func (p *Pool) Begin(now time.Time, choice Choice, ask Ask) *Ticket {
+	ticket := &Ticket{
+		Upstream:  choice.Upstream.ID,
+		started:   now,
+		tokens:    float64(choice.Read),
+		plainWork: !p.engine,
+	}
+	m := p.members[choice.Upstream.ID]
+	if m == nil {
+		return ticket
+	}
+	ticket.ahead = m.tokens + p.elsewhere(now, choice.Upstream.ID).Tokens
+	if m.waiting == 0 {
+		m.waitingSince = now
+	}
+	m.running++
+	m.waiting++
+	m.tokens += ticket.tokens
+	if p.engine {
+		p.index.Read(choice.Upstream.ID, ask.Prompt, p.capacity)
+	}
+	return ticket
+}
+
+// Answered notes a sign of the request's run, an event or its whole answer. The first one says that its prompt has been read.
+func (p *Pool) Answered(now time.Time, t *Ticket) {
+	m := p.members[t.Upstream]
+	if m != nil {
+		m.progressed = now
+	}
+	if t.answered {
+		return
+	}
+	t.answered = true
+	if t.plainWork {
+		p.requestMS += requestStep * (now.Sub(t.started).Seconds()*1000 - p.requestMS)
+	} else {
+		p.rate.learn(t.tokens+t.ahead, now.Sub(t.started))
+	}
+	if m != nil {
+		m.waiting = max(0, m.waiting-1)
+		m.tokens = max(0, m.tokens-t.tokens)
+		m.addTrouble(now, -goodAnswer)
+	}
+}
+
+// requestStep is the part of a plain request's time that the mean takes over.
+const requestStep = 0.05
+
+// Report takes what an upstream said about its load.
+func (p *Pool) Report(now time.Time, upstream string, load Load) {
+	if m := p.members[upstream]; m != nil {
+		m.report(now, load)
+	}
+}
+
+// Ended notes that the request no longer runs. Failed tells that the upstream is to blame.
+func (p *Pool) Ended(now time.Time, t *Ticket, failed bool) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	m := p.members[t.Upstream]
+	if m == nil {
+		return
+	}
+	m.running = max(0, m.running-1)
+	if !t.answered {
+		m.waiting = max(0, m.waiting-1)
+		m.tokens = max(0, m.tokens-t.tokens)
+	}
+	if failed {
+		m.addTrouble(now, 1)
+	}
+}
+
+// Rate returns the learned reading rate in tokens per millisecond, and the learned time of a plain request in milliseconds.
+func (p *Pool) Rate() (tokensPerMS, requestMS float64) { return p.rate.tokensPerMS, p.requestMS }
--- a/lib/hwquarantine/guard.go
+++ b/lib/hwquarantine/guard.go
@@ -175,3 +175,9 @@
 	})
 	return all[:min(len(all), limit)]
 }
+
+// Struck reports whether strikes are remembered for a request.
+func (g *Guard) Struck(fingerprint Fingerprint) bool {
+	e := g.entries[fingerprint]
+	return e != nil && len(e.strikes) > 0
+}
