A stopping router refuses what comes after its drain time

Ruled out: closing kept connections at once (a request that crosses the close is lost); ending sooner with requests in flight.

--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -31,6 +31,8 @@
 	BodyTimeout time.Duration
 	// WriteTimeout bounds one write to a caller.
 	WriteTimeout time.Duration
+	// DrainTime is how long a stopping router still takes requests.
+	DrainTime time.Duration
 	// GeneratedWeight is the cost of a generated token in prompt tokens.
 	GeneratedWeight float64
 	// Quarantine bounds the memory of requests that crash upstreams.
@@ -69,8 +71,9 @@
 
 	table     atomic.Pointer[hwtable.Table]
 	confirmed atomic.Pointer[confirmed]
-	stopping  atomic.Bool
-	inFlight  atomic.Int64
+	// stopped is when the router was told to stop, nil before.
+	stopped  atomic.Pointer[time.Time]
+	inFlight atomic.Int64
 
 	lock    sync.Mutex
 	random  *rand.Rand
@@ -234,7 +237,7 @@
 
 // Ready reports whether the router can serve callers.
 func (r *Router) Ready(now time.Time) bool {
-	if r.stopping.Load() || r.table.Load() == nil || !r.fresh(now, r.settings.KeyFreshness) {
+	if r.stopped.Load() != nil || r.table.Load() == nil || !r.fresh(now, r.settings.KeyFreshness) {
 		return false
 	}
 	r.lock.Lock()
@@ -247,8 +250,14 @@
 	return false
 }
 
-// Stop makes the router tell callers to close their connections. Requests are still served.
-func (r *Router) Stop() { r.stopping.Store(true) }
+// Stop makes the router tell callers to close their connections. Requests are still served for the drain time and refused after it, because they might not end before the process does.
+func (r *Router) Stop(now time.Time) { r.stopped.CompareAndSwap(nil, &now) }
+
+// drained reports whether the router no longer takes requests.
+func (r *Router) drained(now time.Time) bool {
+	at := r.stopped.Load()
+	return at != nil && now.Sub(*at) > r.settings.DrainTime
+}
 
 // InFlight returns the number of requests being served.
 func (r *Router) InFlight() int64 { return r.inFlight.Load() }
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -70,7 +70,7 @@
 		arrived: now,
 	}
 	r.metrics.requests.Add(1)
-	if r.stopping.Load() {
+	if r.stopped.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	table := r.table.Load()
@@ -128,11 +128,16 @@
 	notReadyRetry = 300 * time.Millisecond
 	// noUpstreamRetry is when a caller should come back to a pool without any upstream.
 	noUpstreamRetry = 500 * time.Millisecond
+	// stoppingRetry is when a caller of a stopping instance should come back: another instance serves it at once.
+	stoppingRetry = 20 * time.Millisecond
 )
 
 // admit finds the request's route and account and checks all that can be checked before an upstream is chosen.
 func (d *delivery) admit(now time.Time, table *hwtable.Table) *hwerror.Refusal {
 	r := d.router
+	if r.drained(now) {
+		return refuse(hwerror.KindShuttingDown, "the instance stops").WithRetryAfter(stoppingRetry)
+	}
 	if table == nil {
 		return refuse(hwerror.KindNotReady, "no configuration is in force yet").WithRetryAfter(notReadyRetry)
 	}
--- a/lib/hwfront/server.go
+++ b/lib/hwfront/server.go
@@ -126,7 +126,7 @@
 // Stop lets the platform see that the instance is not ready, serves what comes until then, and finishes what is in flight. It is the other half of kratos's server interface.
 func (s *Server) Stop(ctx context.Context) error {
 	began := s.now()
-	s.router.Stop()
+	s.router.Stop(began)
 	s.logger.Emit(hwevent.RouterStopping, hwevent.With("instance", s.settings.Instance), hwevent.With("in-flight", s.router.InFlight()))
 	ctx, cancel := context.WithTimeout(ctx, s.settings.StopTime)
 	defer cancel()
