--- a/lib/hwadmit/admit.go
+++ b/lib/hwadmit/admit.go
@@ -6,8 +6,10 @@
 type Settings struct {
 	// WaitPart is the largest estimated wait of an account within its share, as a part of the objective.
 	WaitPart float64
-	// OverPart scales that wait for an account that has had twice its share; in between it falls evenly.
-	OverPart float64
+	// UnderPart and OverPart scale that wait for an account that has had nothing of its share and for one that has had more than its share by OverSpan. In between the scale falls evenly and is 1 for an account that has all of its share.
+	UnderPart float64
+	OverPart  float64
+	OverSpan  float64
 	// ReturnFloor is the shortest time after which a refused caller is asked back.
 	ReturnFloor time.Duration
 	// ReturnSpread is added times a draw, so that refused callers do not return together.
@@ -40,8 +42,13 @@
 // Decide takes or refuses a request. Its own size does not count, so that large requests are not refused more often than small ones.
 func (s Settings) Decide(r Request) Verdict {
 	part := s.WaitPart
-	if r.Ratio > 1 {
-		part *= 1 - (1-s.OverPart)*min(1, r.Ratio-1)
+	switch {
+	case r.Ratio <= 0:
+		// Everybody gets what they ask for.
+	case r.Ratio < 1:
+		part *= s.UnderPart + (1-s.UnderPart)*r.Ratio
+	default:
+		part *= 1 - (1-s.OverPart)*min(1, (r.Ratio-1)/s.OverSpan)
 	}
 	limit := time.Duration(part * float64(r.Objective))
 	if r.Wait <= limit {
--- a/lib/hwadmit/shares.go
+++ b/lib/hwadmit/shares.go
@@ -131,11 +131,8 @@
 	return math.Inf(1)
 }
 
-// Ratio returns an account's use as a part of its fair rate. Below 1 it is owed more.
+// Ratio returns an account's use as a part of its fair rate. Below 1 it is owed more. It is 0 when everybody gets what they ask for.
 func (s *Shares) Ratio(now time.Time, account string, throughput float64) float64 {
-	if throughput <= 0 {
-		return 0
-	}
 	fleet := s.Fleet(now)
 	asked := make([]float64, 0, len(fleet))
 	for _, use := range fleet {
