Tests of the new packages, each of the patterns and rules that they answer

Found by the tests: a failure of long ago still decided between idle upstreams (forgotten below a twentieth now); a caller that was still sending a body beyond the limit saw a reset in place of 413.

--- /dev/null
+++ b/lib/hwadmit/admit_test.go
@@ -0,0 +1,131 @@
+package hwadmit_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hickorywick/hickorywick/lib/hwadmit"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+var settings = hwadmit.Settings{
+	WaitPart:     0.35,
+	UnderPart:    1,
+	OverPart:     0.05,
+	OverSpan:     1,
+	ReturnFloor:  100 * time.Millisecond,
+	ReturnSpread: 400 * time.Millisecond,
+}
+
+func ExampleLevel() {
+	// Of 100, the small one gets its 10 and the large ones 45 each.
+	fmt.Println(hwadmit.Level(100, []float64{300, 10, 60}))
+	// Output: 45
+}
+
+func ExampleSettings_Decide() {
+	verdict := settings.Decide(hwadmit.Request{
+		Wait:      400 * time.Millisecond,
+		Objective: time.Second,
+	})
+	fmt.Println(verdict.Admitted, verdict.Limit, verdict.RetryAfter)
+	// Output: false 350ms 100ms
+}
+
+// The level gives away exactly the throughput, and never more than is asked.
+func TestLevelIsMaxMinFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		throughput := rapid.Float64Range(1, 1e6).Draw(t, "throughput")
+		asked := rapid.SliceOfN(rapid.Float64Range(0, 1e6), 1, 40).Draw(t, "asked")
+		total := 0.0
+		for _, rate := range asked {
+			total += rate
+		}
+		level := hwadmit.Level(throughput, asked)
+		if math.IsInf(level, 1) {
+			if total > throughput*(1+1e-9) {
+				t.Fatalf("no level though %g is asked of %g", total, throughput)
+			}
+			return
+		}
+		given := 0.0
+		for _, rate := range asked {
+			given += min(rate, level)
+		}
+		if math.Abs(given-throughput) > throughput*1e-9 {
+			t.Fatalf("gives %g of %g", given, throughput)
+		}
+	})
+}
+
+// Pattern: one account sends many times its usual at one router while the others ask for little at another.
+func TestAFloodingAccountIsHeldBackAndOthersAreNot(t *testing.T) {
+	shares := hwadmit.NewShares(2 * time.Second)
+	now := start
+	for range 200 {
+		now = now.Add(20 * time.Millisecond)
+		shares.Asked(now, "flood", 20_000)
+		shares.Given(now, "flood", 10_000)
+		shares.SetPeer(now, "router-2", map[string]hwadmit.Use{
+			"small": {Asked: 30_000, Given: 30_000},
+			"other": {Asked: 60_000, Given: 50_000},
+		})
+	}
+	const throughput = 270_000
+	flood := shares.Ratio(now, "flood", throughput)
+	assert.Greater(t, flood, 2.0)
+	assert.Less(t, shares.Ratio(now, "small", throughput), 0.3)
+	wait := hwadmit.Request{Wait: 100 * time.Millisecond, Objective: time.Second}
+	wait.Ratio = flood
+	assert.False(t, settings.Decide(wait).Admitted)
+	wait.Ratio = shares.Ratio(now, "small", throughput)
+	assert.True(t, settings.Decide(wait).Admitted)
+	wait.Ratio = flood
+	wait.Wait = 0
+	assert.True(t, settings.Decide(wait).Admitted, "nobody is refused while engines are idle")
+}
+
+// Without more demand than throughput nobody is over a share, however unequal the accounts are.
+func TestNobodyIsHeldBackWhileThereIsEnough(t *testing.T) {
+	shares := hwadmit.NewShares(2 * time.Second)
+	shares.Asked(start, "large", 100_000)
+	shares.Given(start, "large", 100_000)
+	shares.Asked(start, "small", 10)
+	assert.Zero(t, shares.Ratio(start, "large", 270_000))
+}
+
+// What a peer said long ago no longer counts, and idle time builds no claim.
+func TestUseIsForgotten(t *testing.T) {
+	shares := hwadmit.NewShares(2 * time.Second)
+	shares.Asked(start, "a", 1e6)
+	shares.SetPeer(start, "router-2", map[string]hwadmit.Use{"b": {Asked: 1e6, Given: 1e6}})
+	assert.Len(t, shares.Fleet(start), 2)
+	assert.Empty(t, shares.Fleet(start.Add(time.Minute)))
+}
+
+// A refused caller is asked back when there should be room, and never all at the same time.
+func TestRetryAfterIsTheEstimatedWaitSpread(t *testing.T) {
+	request := hwadmit.Request{Wait: 2 * time.Second, Objective: time.Second}
+	first := settings.Decide(request)
+	request.Draw = 0.9
+	second := settings.Decide(request)
+	assert.Equal(t, 1650*time.Millisecond, first.RetryAfter)
+	assert.Equal(t, 2010*time.Millisecond, second.RetryAfter)
+}
+
+// The more an account had of its share, the shorter the wait with which it is still taken.
+func TestTheLimitFallsWithTheShareUsed(t *testing.T) {
+	last := time.Hour
+	for _, ratio := range []float64{0.2, 0.9, 1.1, 1.4, 1.9, 2.5, 9} {
+		limit := settings.Decide(hwadmit.Request{Objective: time.Second, Ratio: ratio}).Limit
+		assert.LessOrEqual(t, limit, last, ratio)
+		last = limit
+	}
+	assert.Equal(t, 17500*time.Microsecond, last.Round(time.Microsecond))
+}
--- /dev/null
+++ b/lib/hwfollow/follow_test.go
@@ -0,0 +1,193 @@
+package hwfollow_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwfollow"
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+	"github.com/hickorywick/hickorywick/lib/hwtable"
+	"github.com/hickorywick/hickorywick/lib/hwtask"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func list(ids ...string) []hwplace.Upstream {
+	var all []hwplace.Upstream
+	for _, id := range ids {
+		all = append(all, hwplace.Upstream{ID: id})
+	}
+	return all
+}
+
+func ids(all []hwplace.Upstream) []string {
+	names := []string{}
+	for _, u := range all {
+		names = append(names, u.ID)
+	}
+	return names
+}
+
+func ExampleLapsing() {
+	lapsing := hwfollow.NewLapsing(2 * time.Second)
+	lapsing.Take(start, list("a", "b"))
+	lapsing.Lost(start.Add(time.Second))
+	back := start.Add(5 * time.Second)
+	fmt.Println(len(lapsing.Take(back, list("a"))), len(lapsing.Take(back.Add(2*time.Second), list("a"))))
+	// Output: 2 1
+}
+
+func TestAMissingEntryIsGoneAtOnceInSteadyState(t *testing.T) {
+	lapsing := hwfollow.NewLapsing(2 * time.Second)
+	lapsing.Take(start, list("a", "b"))
+	assert.Equal(t, []string{"a"}, ids(lapsing.Take(start.Add(time.Second), list("a"))))
+}
+
+func TestAnEntryThatLapsedInAnOutageStaysUntilItIsBackOrTheTimeIsOver(t *testing.T) {
+	lapsing := hwfollow.NewLapsing(2 * time.Second)
+	lapsing.Take(start, list("a", "b", "c"))
+	lapsing.Lost(start.Add(time.Second))
+	now := start.Add(4 * time.Second)
+	assert.ElementsMatch(t, []string{"a", "b", "c"}, ids(lapsing.Take(now, list("a"))))
+	now = now.Add(time.Second)
+	assert.ElementsMatch(t, []string{"a", "b", "c"}, ids(lapsing.Take(now, list("a", "b"))))
+	now = now.Add(1500 * time.Millisecond)
+	assert.ElementsMatch(t, []string{"a", "b"}, ids(lapsing.Take(now, list("a", "b"))))
+}
+
+// source answers as tests say.
+type source struct {
+	lock     sync.Mutex
+	revision int64
+	failing  atomic.Bool
+	asked    atomic.Int64
+	before   func()
+}
+
+type lostError struct{}
+
+func (lostError) Error() string { return "lost" }
+
+func (s *source) Table(_ context.Context, known int64) (*hwtable.Table, int64, error) {
+	s.asked.Add(1)
+	if s.failing.Load() {
+		return nil, 0, lostError{}
+	}
+	if s.before != nil {
+		s.before()
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.revision <= known {
+		return nil, s.revision, nil
+	}
+	return hwtable.New(hwtable.Contents{Version: uint64(s.revision)}), s.revision, nil
+}
+
+func (s *source) Upstreams(context.Context) ([]hwplace.Upstream, error) {
+	if s.failing.Load() {
+		return nil, lostError{}
+	}
+	return list("a"), nil
+}
+
+// recorder notes what it is told.
+type recorder struct {
+	lock      sync.Mutex
+	versions  []uint64
+	confirmed time.Duration
+	upstreams int
+}
+
+func (s *recorder) SetTable(_ time.Time, t *hwtable.Table) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.versions = append(s.versions, t.Version())
+	return true
+}
+
+func (s *recorder) Confirm(_ time.Time, boot time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.confirmed = boot
+}
+
+func (s *recorder) SetUpstreams(_ time.Time, all []hwplace.Upstream) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.upstreams = len(all)
+}
+
+func (s *recorder) see(look func(*recorder) bool) func() bool {
+	return func() bool {
+		s.lock.Lock()
+		defer s.lock.Unlock()
+		return look(s)
+	}
+}
+
+func run(t *testing.T, source *source, sink *recorder, boot func() time.Duration) {
+	t.Helper()
+	f := hwfollow.New(hwfollow.Settings{
+		TableEvery: 5 * time.Millisecond,
+		ListEvery:  5 * time.Millisecond,
+		RetryEvery: 5 * time.Millisecond,
+		Timeout:    time.Second,
+		Lapse:      time.Second,
+	}, source, sink, hwevent.New(io.Discard, hwevent.Info), hwfollow.Clock{
+		Now:  time.Now,
+		Boot: boot,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := hwtask.Start(ctx, f.Run)
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, hwtask.Join(done))
+	})
+}
+
+func TestANewVersionIsTakenOnceAndConfirmedAgainAndAgain(t *testing.T) {
+	source, sink := &source{revision: 3}, &recorder{}
+	var boot atomic.Int64
+	run(t, source, sink, func() time.Duration { return time.Duration(boot.Add(1)) })
+	require.Eventually(t, sink.see(func(s *recorder) bool { return s.confirmed > 20 && s.upstreams == 1 }), 5*time.Second, time.Millisecond)
+	source.lock.Lock()
+	source.revision = 9
+	source.lock.Unlock()
+	require.Eventually(t, sink.see(func(s *recorder) bool { return len(s.versions) == 2 }), 5*time.Second, time.Millisecond)
+	assert.Equal(t, []uint64{3, 9}, sink.versions)
+}
+
+// What an answer says was true after the question, so it is confirmed as of the question: a freeze between the two makes it older, not newer.
+func TestConfirmationIsAsOldAsTheQuestion(t *testing.T) {
+	sink := &recorder{}
+	var boot atomic.Int64
+	boot.Store(int64(time.Hour))
+	source := &source{
+		revision: 1,
+		before:   func() { boot.Add(int64(10 * time.Second)) },
+	}
+	run(t, source, sink, func() time.Duration { return time.Duration(boot.Load()) })
+	require.Eventually(t, sink.see(func(s *recorder) bool {
+		return s.confirmed > 0 && s.confirmed <= time.Duration(boot.Load())-10*time.Second
+	}), 5*time.Second, time.Microsecond)
+}
+
+func TestNothingIsConfirmedWhileTheSourceIsAway(t *testing.T) {
+	source, sink := &source{revision: 1}, &recorder{}
+	source.failing.Store(true)
+	run(t, source, sink, func() time.Duration { return time.Hour })
+	require.Eventually(t, func() bool { return source.asked.Load() > 5 }, 5*time.Second, time.Millisecond)
+	assert.True(t, sink.see(func(s *recorder) bool { return s.confirmed == 0 && len(s.versions) == 0 })())
+	source.failing.Store(false)
+	require.Eventually(t, sink.see(func(s *recorder) bool { return s.confirmed > 0 }), 5*time.Second, time.Millisecond)
+}
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -98,12 +98,14 @@
 	if table != nil && table.Limits().BodyBytes > 0 {
 		limit = table.Limits().BodyBytes
 	}
+	// A caller that stops sending must not hold its connection for ever.
+	_ = d.control.SetReadDeadline(d.arrived.Add(d.router.settings.BodyTimeout))
 	if d.request.ContentLength > limit {
+		// A caller that is still sending would see a reset in place of the refusal; what is far too large is not read.
+		_, _ = io.Copy(io.Discard, io.LimitReader(d.request.Body, 2*limit))
 		d.refuse(refuse(hwerror.KindTooLarge, "the body is larger than the limit"))
 		return false
 	}
-	// A caller that stops sending must not hold its connection for ever.
-	_ = d.control.SetReadDeadline(d.arrived.Add(d.router.settings.BodyTimeout))
 	body, err := io.ReadAll(io.LimitReader(d.request.Body, limit+1))
 	if err != nil {
 		d.router.logger.Emit(hwevent.CallerGone, hwevent.With("request-id", d.call.ID), hwevent.With("cause", err.Error()))
--- /dev/null
+++ b/lib/hwfront/server_test.go
@@ -0,0 +1,120 @@
+package hwfront_test
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorywick/hickorywick/lib/hwadmit"
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwforward"
+	"github.com/hickorywick/hickorywick/lib/hwfront"
+	"github.com/hickorywick/hickorywick/lib/hwlink"
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
+	"github.com/hickorywick/hickorywick/lib/hwtable"
+	"github.com/hickorywick/hickorywick/lib/hwtask"
+)
+
+// plainEdge speaks plain HTTP.
+type plainEdge struct{}
+
+func (plainEdge) IDHeader() string                                    { return "X-Id" }
+func (plainEdge) Call(*http.Request) hwforward.Call                   { return hwforward.Call{} }
+func (plainEdge) Facts(int, http.Header) hwforward.Facts              { return hwforward.Facts{Signed: true} }
+func (plainEdge) Relay(to, _ http.Header)                             { to.Set("X-Relayed", "1") }
+func (plainEdge) Forward(_ http.Header, _ hwforward.Send) http.Header { return http.Header{} }
+
+func free(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func get(t *testing.T, url string) int {
+	t.Helper()
+	response, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+// A stopping server is not ready, still serves, and ends only when what is in flight has its answer.
+func TestStopFinishesWhatIsInFlight(t *testing.T) {
+	release, arrived := make(chan struct{}), make(chan struct{}, 1)
+	var served atomic.Int32
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if served.Add(1) == 1 {
+			arrived <- struct{}{}
+			<-release
+		}
+		_, _ = io.WriteString(w, "done")
+	}))
+	defer upstream.Close()
+	logger := hwevent.New(io.Discard, hwevent.Info)
+	router := hwforward.New(hwforward.Settings{
+		Place:        hwplace.Settings{TokensPerMS: 1, RequestMS: 1},
+		Admit:        hwadmit.Settings{WaitPart: 1, OverSpan: 1},
+		ShareWindow:  time.Second,
+		KeyFreshness: time.Hour,
+		DrainTime:    time.Hour,
+		BodyTimeout:  time.Second,
+		WriteTimeout: time.Second,
+		Quarantine:   hwquarantine.Settings{Window: time.Minute, Upstreams: 2, Entries: 10},
+	}, hwforward.Dependencies{
+		Edge:   plainEdge{},
+		Links:  hwlink.New(hwlink.Settings{DialTimeout: time.Second, SilenceTimeout: 2 * time.Second}),
+		Logger: logger,
+		Clock: hwforward.Clock{
+			Now:  time.Now,
+			Boot: func() time.Duration { return time.Hour },
+		},
+		Random: rand.NewPCG(1, 1),
+	})
+	callers, ready, metrics := free(t), free(t), free(t)
+	server := hwfront.New(hwfront.Settings{
+		Callers:     callers,
+		Ready:       ready,
+		Metrics:     metrics,
+		ReadyPath:   "/ready",
+		MetricsPath: "/metrics",
+		DrainTime:   50 * time.Millisecond,
+		StopTime:    time.Minute,
+	}, router, logger, time.Now)
+	running := hwtask.Start(context.Background(), server.Start)
+	require.Eventually(t, func() bool { return get(t, "http://"+ready+"/ready") == http.StatusServiceUnavailable }, 5*time.Second, 5*time.Millisecond)
+	router.SetTable(time.Now(), hwtable.New(hwtable.Contents{
+		Version: 1,
+		Routes:  []hwtable.Route{{Host: "127.0.0.1", Prefix: "/", Timeout: time.Minute, Targets: []hwtable.Target{{Pool: "p", Weight: 1}}}},
+		Pools:   []hwtable.Pool{{Name: "p"}},
+	}))
+	router.SetUpstreams(time.Now(), []hwplace.Upstream{{ID: "u", Address: upstream.Listener.Addr().String(), Pool: "p", Slots: 4}})
+	router.Confirm(time.Now(), time.Hour)
+	require.Equal(t, http.StatusOK, get(t, "http://"+ready+"/ready"))
+	require.Equal(t, http.StatusOK, get(t, "http://"+metrics+"/metrics"))
+
+	first := make(chan int, 1)
+	go func() { first <- get(t, "http://"+callers+"/slow") }()
+	<-arrived
+	stopping := hwtask.Start(context.Background(), server.Stop)
+	require.Eventually(t, func() bool { return get(t, "http://"+ready+"/ready") == http.StatusServiceUnavailable }, 5*time.Second, time.Millisecond)
+	assert.Equal(t, http.StatusOK, get(t, "http://"+callers+"/quick"), "until the platform has seen it")
+	close(release)
+	assert.Equal(t, http.StatusOK, <-first)
+	require.NoError(t, hwtask.Join(stopping, running))
+	assert.Zero(t, get(t, "http://"+callers+"/late"))
+}
--- a/lib/hwplace/member.go
+++ b/lib/hwplace/member.go
@@ -26,6 +26,8 @@
 const (
 	// troubleDecay is the time in which a failure loses two thirds of its weight.
 	troubleDecay = 3 * time.Second
+	// troubleForgotten is when a failure is forgotten altogether; less would still decide between equals.
+	troubleForgotten = 0.05
 	// slowDecay is the time over which an upstream's reports of its speed are averaged: they change many times a second.
 	slowDecay = 700 * time.Millisecond
 	// slowForget is how long a report of slowness counts without a newer one.
@@ -41,7 +43,11 @@
 	if m.failures == 0 {
 		return 0
 	}
-	return m.failures * math.Exp(-now.Sub(m.failedAt).Seconds()/troubleDecay.Seconds())
+	left := m.failures * math.Exp(-now.Sub(m.failedAt).Seconds()/troubleDecay.Seconds())
+	if left < troubleForgotten {
+		return 0
+	}
+	return left
 }
 
 func (m *member) addTrouble(now time.Time, amount float64) {
--- /dev/null
+++ b/lib/hwtable/table_test.go
@@ -0,0 +1,98 @@
+package hwtable_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hickorywick/hickorywick/lib/hwtable"
+)
+
+func Example() {
+	table := hwtable.New(hwtable.Contents{
+		Version: 7,
+		Routes: []hwtable.Route{
+			{
+				Name:    "orders",
+				Host:    "yard.example",
+				Prefix:  "/orders/",
+				Timeout: time.Second,
+				Targets: []hwtable.Target{
+					{
+						Pool:   "ledger",
+						Weight: 1,
+					},
+				},
+			},
+		},
+		Accounts: []hwtable.Account{
+			{
+				Name: "harbour",
+				Keys: []string{"secret"},
+			},
+		},
+	})
+	route, _ := table.Match("yard.example:8080", "/orders/12")
+	account, _ := table.Authenticate("secret")
+	fmt.Println(route.Name, route.Pick(0.5), account.Name, table.Guarded(route))
+	// Output: orders ledger harbour true
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	table := hwtable.New(hwtable.Contents{
+		Routes: []hwtable.Route{
+			{Name: "all", Host: "a.example", Prefix: "/"},
+			{Name: "deep", Host: "a.example", Prefix: "/x/y/"},
+			{Name: "x", Host: "a.example", Prefix: "/x/"},
+			{Name: "other", Host: "b.example", Prefix: "/x/y/z/"},
+		},
+	})
+	for path, want := range map[string]string{
+		"/":        "all",
+		"/x":       "all",
+		"/x/":      "x",
+		"/x/yy":    "x",
+		"/x/y/z/1": "deep",
+	} {
+		route, found := table.Match("a.example", path)
+		assert.True(t, found, path)
+		assert.Equal(t, want, route.Name, path)
+	}
+	_, found := table.Match("c.example", "/")
+	assert.False(t, found)
+}
+
+func TestPublicRoutesAndTablesWithoutAccountsAskForNoKey(t *testing.T) {
+	account := []hwtable.Account{{Name: "a", Keys: []string{"k"}}}
+	assert.False(t, hwtable.New(hwtable.Contents{Accounts: account}).Guarded(hwtable.Route{Public: true}))
+	assert.True(t, hwtable.New(hwtable.Contents{Accounts: account}).Guarded(hwtable.Route{}))
+	assert.False(t, hwtable.New(hwtable.Contents{}).Guarded(hwtable.Route{}))
+}
+
+// Requests are spread over a route's pools in proportion to their weights, and a pool without weight gets none.
+func TestPickFollowsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first := rapid.Float64Range(0, 100).Draw(t, "first")
+		second := rapid.Float64Range(0.1, 100).Draw(t, "second")
+		route := hwtable.Route{
+			Targets: []hwtable.Target{
+				{Pool: "first", Weight: first},
+				{Pool: "second", Weight: second},
+			},
+		}
+		const draws = 1000
+		count := 0
+		for i := range draws {
+			if route.Pick(float64(i)/draws) == "first" {
+				count++
+			}
+		}
+		// The draws are even, so the count is off by one at most.
+		if want := draws * first / (first + second); float64(count) < want-1 || float64(count) > want+1 {
+			t.Fatalf("%d of %d, want %.1f", count, draws, want)
+		}
+	})
+}
