--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The map of tasks. Every task works in a fresh clone with Go installed.
-MODULES := lib cmd/hickorywick-router cmd/hickorywickctl cmd/hickorywick-standin
+MODULES := lib cmd/hickorywick-router cmd/hickorywickctl cmd/hickorywick-standin platform
 GOBIN := $(CURDIR)/.bin
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
