Two routers read the store for the fleet; choices cost less at many peers

Ruled out: datagrams that carry freshness unasked (one that waits in a frozen router's socket would look fresh). An answer counts from its question. Change: routers ask one of two readers, and read for themselves when none answers young enough; sums of peers' work and the fleet's rates are kept in place of being added up for each request; datagrams come less often in larger fleets.

--- a/lib/hwadmit/shares.go
+++ b/lib/hwadmit/shares.go
@@ -33,6 +33,10 @@
 	window time.Duration
 	own    map[string]*meter
 	peers  map[string]peerUse
+	// sum and level are the fleet's rates and the fair rate as of summed; they are kept for a moment.
+	sum    map[string]Use
+	level  float64
+	summed time.Time
 }
 
 type peerUse struct {
@@ -131,16 +135,22 @@
 	return math.Inf(1)
 }
 
+// sumAge is how long the sum over the fleet is kept. Peers report no more often.
+const sumAge = 100 * time.Millisecond
+
 // Ratio returns an account's use as a part of its fair rate. Below 1 it is owed more. It is 0 when everybody gets what they ask for.
 func (s *Shares) Ratio(now time.Time, account string, throughput float64) float64 {
-	fleet := s.Fleet(now)
-	asked := make([]float64, 0, len(fleet))
-	for _, use := range fleet {
-		asked = append(asked, use.Asked)
+	if s.sum == nil || now.Sub(s.summed) >= sumAge {
+		s.sum = s.Fleet(now)
+		s.summed = now
+		asked := make([]float64, 0, len(s.sum))
+		for _, use := range s.sum {
+			asked = append(asked, use.Asked)
+		}
+		s.level = Level(throughput, asked)
 	}
-	level := Level(throughput, asked)
-	if math.IsInf(level, 1) || level <= 0 {
+	if math.IsInf(s.level, 1) || s.level <= 0 {
 		return 0
 	}
-	return fleet[account].Given / level
+	return s.sum[account].Given / s.level
 }
--- a/lib/hwfleet/fleet.go
+++ b/lib/hwfleet/fleet.go
@@ -16,6 +16,7 @@
 
 	"github.com/hickorywick/hickorywick/lib/hwadmit"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwfollow"
 	"github.com/hickorywick/hickorywick/lib/hwforward"
 	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
 	"github.com/hickorywick/hickorywick/lib/hwplace"
@@ -63,6 +64,9 @@
 	lock  sync.Mutex
 	seeds []netip.AddrPort
 	peers map[netip.AddrPort]*peer
+	// asking are the questions that wait for their answers, by nonce.
+	asking map[uint64]chan hwfollow.State
+	state  func() (hwfollow.State, bool)
 	// sequence numbers the datagrams sent.
 	sequence uint64
 }
@@ -76,6 +80,7 @@
 		logger:   logger,
 		now:      now,
 		peers:    map[netip.AddrPort]*peer{},
+		asking:   map[uint64]chan hwfollow.State{},
 	}
 }
 
@@ -104,18 +109,27 @@
 	stop := context.AfterFunc(ctx, func() { _ = f.socket.Close() })
 	defer stop()
 	receiving := hwtask.Start(ctx, f.receive)
-	ticker := time.NewTicker(f.settings.Every)
-	defer ticker.Stop()
+	timer := time.NewTimer(f.settings.Every)
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 			f.send(f.now())
+			timer.Reset(f.pace(f.now()))
 		case <-ctx.Done():
 			return hwtask.Join(receiving)
 		}
 	}
 }
 
+// paceFleet is the number of peers with which the time between datagrams has doubled: what a router sends and receives then grows more slowly than the fleet.
+const paceFleet = 16
+
+// pace returns the time to the next datagram.
+func (f *Fleet) pace(now time.Time) time.Duration {
+	return f.settings.Every + f.settings.Every*time.Duration(f.Peers(now))/paceFleet
+}
+
 // largestDatagram bounds a datagram, in bytes.
 const largestDatagram = 60_000
 
@@ -161,12 +175,13 @@
 		p = &peer{}
 		f.peers[from] = p
 	}
+	question := datagram.GetQuery() != nil || datagram.GetState() != nil
 	joined := p.name == "" || now.Sub(p.heard) > f.settings.Forget || p.boot != datagram.GetBoot()
 	late := p.boot == datagram.GetBoot() && datagram.GetSequence() <= p.sequence
 	p.name = datagram.GetRouter()
 	p.boot = datagram.GetBoot()
 	p.heard = now
-	if !late {
+	if !late && !question {
 		p.sequence = datagram.GetSequence()
 	}
 	for _, member := range datagram.GetMembers() {
@@ -178,6 +193,14 @@
 		}
 	}
 	f.lock.Unlock()
+	if query := datagram.GetQuery(); query != nil {
+		f.answer(from, query)
+		return
+	}
+	if state := datagram.GetState(); state != nil {
+		f.answered(state)
+		return
+	}
 	if joined {
 		f.logger.Emit(hwevent.MemberJoined, hwevent.With("instance", datagram.GetRouter()), hwevent.With("address", from.String()))
 	}
--- a/lib/hwfleet/fleet_test.go
+++ b/lib/hwfleet/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwadmit"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwfleet"
+	"github.com/hickorywick/hickorywick/lib/hwfollow"
 	"github.com/hickorywick/hickorywick/lib/hwforward"
 	"github.com/hickorywick/hickorywick/lib/hwplace"
 	"github.com/hickorywick/hickorywick/lib/hwprompt"
@@ -123,3 +124,50 @@
 	defer heard.lock.Unlock()
 	assert.Len(t, heard.heard, 1)
 }
+
+// Two of the routers read the store; any other one gets the state from them, with its list only if it differs, and keeps it when a reader ends.
+func TestReadersAnswerForTheStore(t *testing.T) {
+	list := []hwplace.Upstream{{ID: "u", Address: "10.0.0.1:80", Zone: "z", Pool: "p", Slots: 4, Started: 9, Leaving: true, Version: 3}}
+	state := hwfollow.State{Revision: 12, TableAge: 250 * time.Millisecond, ListAge: 1500 * time.Microsecond, Digest: 77, List: list}
+	var fleets []*hwfleet.Fleet
+	var seeds []netip.AddrPort
+	for _, name := range []string{"first", "second", "third", "fourth"} {
+		fleet, _, address := join(t, name, hwforward.News{}, seeds...)
+		fleet.SetState(func() (hwfollow.State, bool) { return state, true })
+		fleets = append(fleets, fleet)
+		seeds = append(seeds, address)
+	}
+	count := func() int {
+		readers := 0
+		for _, fleet := range fleets {
+			if fleet.Reader(time.Now()) {
+				readers++
+			}
+		}
+		return readers
+	}
+	require.Eventually(t, func() bool { return count() == 2 && fleets[0].Peers(time.Now()) == 3 }, 5*time.Second, 5*time.Millisecond)
+	for _, fleet := range fleets {
+		if fleet.Reader(time.Now()) {
+			continue
+		}
+		got, err := fleet.Ask(context.Background(), hwfollow.Want{List: true})
+		require.NoError(t, err)
+		assert.Equal(t, list, got.List)
+		assert.EqualValues(t, 12, got.Revision)
+		assert.Equal(t, 250*time.Millisecond, got.TableAge)
+		assert.Equal(t, 2*time.Millisecond, got.ListAge, "ages are rounded up")
+		got, err = fleet.Ask(context.Background(), hwfollow.Want{List: true, Digest: 77})
+		require.NoError(t, err)
+		assert.Nil(t, got.List)
+	}
+}
+
+func TestAskingWithoutReadersFails(t *testing.T) {
+	fleet, _, _ := join(t, "alone", hwforward.News{})
+	assert.True(t, fleet.Reader(time.Now()))
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := fleet.Ask(ctx, hwfollow.Want{})
+	require.Error(t, err)
+}
--- a/lib/hwfollow/follow.go
+++ b/lib/hwfollow/follow.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwevent"
@@ -13,12 +14,26 @@
 	"github.com/hickorywick/hickorywick/lib/hwtask"
 )
 
-// Source is where the table and the list come from. Its answers are the newest at the time of the question.
+// Source is where the table and the list come from. Its answers are the newest at the time of the question, less the age that they state.
 type Source interface {
 	// Table returns the table, or nil when its revision is still the known one.
-	Table(ctx context.Context, known int64) (*hwtable.Table, int64, error)
+	Table(ctx context.Context, known int64) (TableAnswer, error)
 	// Upstreams returns the whole list. Entries that name no usable upstream are left out.
-	Upstreams(ctx context.Context) ([]hwplace.Upstream, error)
+	Upstreams(ctx context.Context) (ListAnswer, error)
+}
+
+// TableAnswer is the newest table, or nil, with its revision.
+type TableAnswer struct {
+	Table    *hwtable.Table
+	Revision int64
+	Age      time.Duration
+}
+
+// ListAnswer is the newest list. Settled lists were already completed by another router with entries that lapsed for a moment.
+type ListAnswer struct {
+	Upstreams []hwplace.Upstream
+	Age       time.Duration
+	Settled   bool
 }
 
 // Sink takes what was learned.
@@ -56,6 +71,43 @@
 	clock    Clock
 	revision int64
 	list     Lapsing
+
+	// lock guards state.
+	lock  sync.Mutex
+	state known
+}
+
+// known is what the follower has learned and when, by the boot clock.
+type known struct {
+	revision int64
+	tableAt  time.Duration
+	list     []hwplace.Upstream
+	digest   uint64
+	listAt   time.Duration
+}
+
+// State is what a router knows of the store, for routers that ask it in place of the store.
+type State struct {
+	Revision int64
+	TableAge time.Duration
+	ListAge  time.Duration
+	Digest   uint64
+	List     []hwplace.Upstream
+}
+
+// State returns what the follower knows. Before it knows both table and list there is none.
+func (f *Follower) State() (State, bool) {
+	boot := f.clock.Boot()
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	k := f.state
+	return State{
+		Revision: k.revision,
+		TableAge: boot - k.tableAt,
+		ListAge:  boot - k.listAt,
+		Digest:   k.digest,
+		List:     k.list,
+	}, k.tableAt > 0 && k.listAt > 0
 }
 
 // New returns a follower that has not asked yet.
@@ -121,25 +173,41 @@
 func (f *Follower) askTable(ctx context.Context) error {
 	// What the answer says was true at some time after the question, so the question's time is the safe one.
 	at, boot := f.clock.Now(), f.clock.Boot()
-	table, revision, err := f.source.Table(ctx, f.revision)
+	answer, err := f.source.Table(ctx, f.revision)
 	if err != nil {
 		return err
 	}
-	if table != nil && f.sink.SetTable(f.clock.Now(), table) {
-		f.logger.Emit(hwevent.DocumentInForce, hwevent.With("version", table.Version()), hwevent.With("revision", revision))
+	if answer.Table != nil && f.sink.SetTable(f.clock.Now(), answer.Table) {
+		f.logger.Emit(hwevent.DocumentInForce, hwevent.With("version", answer.Table.Version()), hwevent.With("revision", answer.Revision))
 	}
-	f.revision = max(f.revision, revision)
-	f.sink.Confirm(at, boot)
+	f.revision = max(f.revision, answer.Revision)
+	f.sink.Confirm(at.Add(-answer.Age), boot-answer.Age)
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.state.revision = f.revision
+	f.state.tableAt = max(f.state.tableAt, boot-answer.Age)
 	return nil
 }
 
 func (f *Follower) askList(ctx context.Context) error {
-	list, err := f.source.Upstreams(ctx)
+	boot := f.clock.Boot()
+	answer, err := f.source.Upstreams(ctx)
 	now := f.clock.Now()
 	if err != nil {
 		f.list.Lost(now)
 		return err
 	}
-	f.sink.SetUpstreams(now, f.list.Take(now, list))
+	list := answer.Upstreams
+	if answer.Settled {
+		f.list.Replace(list)
+	} else {
+		list = f.list.Take(now, list)
+	}
+	f.sink.SetUpstreams(now, list)
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.state.list = list
+	f.state.digest = Digest(list)
+	f.state.listAt = max(f.state.listAt, boot-answer.Age)
 	return nil
 }
--- a/lib/hwfollow/follow_test.go
+++ b/lib/hwfollow/follow_test.go
@@ -77,10 +77,10 @@
 
 func (lostError) Error() string { return "lost" }
 
-func (s *source) Table(_ context.Context, known int64) (*hwtable.Table, int64, error) {
+func (s *source) Table(_ context.Context, known int64) (hwfollow.TableAnswer, error) {
 	s.asked.Add(1)
 	if s.failing.Load() {
-		return nil, 0, lostError{}
+		return hwfollow.TableAnswer{}, lostError{}
 	}
 	if s.before != nil {
 		s.before()
@@ -88,16 +88,19 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if s.revision <= known {
-		return nil, s.revision, nil
+		return hwfollow.TableAnswer{Revision: s.revision}, nil
 	}
-	return hwtable.New(hwtable.Contents{Version: uint64(s.revision)}), s.revision, nil
+	return hwfollow.TableAnswer{
+		Table:    hwtable.New(hwtable.Contents{Version: uint64(s.revision)}),
+		Revision: s.revision,
+	}, nil
 }
 
-func (s *source) Upstreams(context.Context) ([]hwplace.Upstream, error) {
+func (s *source) Upstreams(context.Context) (hwfollow.ListAnswer, error) {
 	if s.failing.Load() {
-		return nil, lostError{}
+		return hwfollow.ListAnswer{}, lostError{}
 	}
-	return list("a"), nil
+	return hwfollow.ListAnswer{Upstreams: list("a")}, nil
 }
 
 // recorder notes what it is told.
--- a/lib/hwfollow/lapsing.go
+++ b/lib/hwfollow/lapsing.go
@@ -48,3 +48,12 @@
 	l.known = listed
 	return merged
 }
+
+// Replace takes a list that needs no completing.
+func (l *Lapsing) Replace(list []hwplace.Upstream) {
+	l.lost = false
+	l.known = make(map[string]hwplace.Upstream, len(list))
+	for _, u := range list {
+		l.known[u.ID] = u
+	}
+}
--- a/lib/hwplace/member.go
+++ b/lib/hwplace/member.go
@@ -8,6 +8,8 @@
 // member is one upstream and what the router has seen of it.
 type member struct {
 	upstream Upstream
+	// hash is that of the upstream's id.
+	hash uint64
 	// running are the router's own requests there, waiting those that have no answer yet, tokens their prompts that are not read yet.
 	running int
 	waiting int
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -111,25 +111,28 @@
 	members  map[string]*member
 	index    *hwprompt.Index
 	peers    map[string]peerReport
-	rate     rate
+	// elsewhere sums the peers' reports by upstream.
+	elsewhere map[string]*PeerLoad
+	rate      rate
 	// requestMS is the learned time of a plain request.
 	requestMS float64
 }
 
 type peerReport struct {
 	at    time.Time
-	loads map[string]PeerLoad
+	loads []PeerLoad
 }
 
 // New returns a pool without upstreams. CacheTokens is 0 for a plain service.
 func New(settings Settings, cacheTokens int) *Pool {
 	return &Pool{
-		settings: settings,
-		engine:   cacheTokens > 0,
-		capacity: int(float64(cacheTokens) * settings.CachePart),
-		members:  map[string]*member{},
-		index:    hwprompt.NewIndex(),
-		peers:    map[string]peerReport{},
+		settings:  settings,
+		engine:    cacheTokens > 0,
+		capacity:  int(float64(cacheTokens) * settings.CachePart),
+		members:   map[string]*member{},
+		index:     hwprompt.NewIndex(),
+		peers:     map[string]peerReport{},
+		elsewhere: map[string]*PeerLoad{},
 		rate: rate{
 			tokensPerMS: settings.TokensPerMS,
 		},
@@ -149,7 +152,9 @@
 		if m == nil || m.upstream.Started != u.Started || m.upstream.Address != u.Address {
 			// Another start under the same id holds nothing of before.
 			p.index.Forget(u.ID)
-			m = &member{}
+			m = &member{
+				hash: hwprompt.Hash(u.ID),
+			}
 			p.members[u.ID] = m
 			added = append(added, u.ID)
 		} else if u.Leaving && !m.upstream.Leaving {
@@ -180,31 +185,57 @@
 
 // SetPeer replaces what another router says of its work here.
 func (p *Pool) SetPeer(now time.Time, router string, loads []PeerLoad) {
-	report := peerReport{
-		at:    now,
-		loads: make(map[string]PeerLoad, len(loads)),
-	}
-	for _, l := range loads {
-		report.loads[l.Upstream] = l
+	p.forgetPeer(router)
+	if len(loads) > 0 {
+		p.peers[router] = peerReport{
+			at:    now,
+			loads: loads,
+		}
+		p.addElsewhere(loads, 1)
 	}
-	p.peers[router] = report
 }
 
 // peerReportAge is how long a peer's report counts; a peer that says nothing for longer has probably gone.
 const peerReportAge = 1500 * time.Millisecond
 
-// elsewhere sums the other routers' work at an upstream.
-func (p *Pool) elsewhere(now time.Time, id string) PeerLoad {
-	sum := PeerLoad{}
-	for _, report := range p.peers {
+// forgetPeers drops the reports of peers that have fallen silent.
+func (p *Pool) forgetPeers(now time.Time) {
+	for router, report := range p.peers {
 		if now.Sub(report.at) > peerReportAge {
-			continue
+			p.forgetPeer(router)
 		}
-		l := report.loads[id]
-		sum.Tokens += l.Tokens
-		sum.Running += l.Running
 	}
-	return sum
+}
+
+func (p *Pool) forgetPeer(router string) {
+	p.addElsewhere(p.peers[router].loads, -1)
+	delete(p.peers, router)
+}
+
+// addElsewhere keeps the sums of the other routers' work, so that a choice need not go through all reports. Upstreams that are not listed have sums too: their entry may come later than a peer's report.
+func (p *Pool) addElsewhere(loads []PeerLoad, sign float64) {
+	for _, l := range loads {
+		sum := p.elsewhere[l.Upstream]
+		if sum == nil {
+			sum = &PeerLoad{
+				Upstream: l.Upstream,
+			}
+			p.elsewhere[l.Upstream] = sum
+		}
+		sum.Tokens += sign * l.Tokens
+		sum.Running += int(sign) * l.Running
+		if sum.Running <= 0 {
+			delete(p.elsewhere, l.Upstream)
+		}
+	}
+}
+
+// others returns the other routers' work at an upstream.
+func (p *Pool) others(id string) PeerLoad {
+	if sum := p.elsewhere[id]; sum != nil {
+		return *sum
+	}
+	return PeerLoad{}
 }
 
 // Loads returns the router's own work, for its peers.
@@ -231,6 +262,7 @@
 
 // Choose returns the best upstream for a request, or false when none may take it.
 func (p *Pool) Choose(now time.Time, ask Ask) (Choice, bool) {
+	p.forgetPeers(now)
 	var best Choice
 	lowest := math.Inf(1)
 	holder, held := p.holder(now, ask)
@@ -243,7 +275,7 @@
 		if id == home {
 			score -= p.settings.HomeDiscount * float64(choice.Read) / p.rate.tokensPerMS
 		}
-		score += tieBreak(id, ask.Draw)
+		score += tieBreak(m.hash, ask.Draw)
 		if score < lowest {
 			best = choice
 			lowest = score
@@ -253,13 +285,13 @@
 }
 
 // tieBreak is below a millisecond and differs by upstream and draw, so that equals are not always taken in the same order.
-func tieBreak(id string, draw float64) float64 {
-	return float64(hwprompt.Rank(math.Float64bits(draw), id)>>40) / (1 << 24)
+func tieBreak(hash uint64, draw float64) float64 {
+	return float64(hwprompt.Rank(math.Float64bits(draw), hash)>>40) / (1 << 24)
 }
 
 // weigh returns what a request would find at an upstream and its score in milliseconds; the lowest score is best.
 func (p *Pool) weigh(now time.Time, m *member, ask Ask, holder *member, held int) (Choice, float64) {
-	other := p.elsewhere(now, m.upstream.ID)
+	other := p.others(m.upstream.ID)
 	running := m.running + other.Running
 	slots := max(1, m.upstream.Slots)
 	choice := Choice{
@@ -321,7 +353,7 @@
 		if m.upstream.Leaving {
 			continue
 		}
-		if rank := hwprompt.Rank(chain, id); home == "" || rank > highest {
+		if rank := hwprompt.Rank(chain, m.hash); home == "" || rank > highest {
 			home = id
 			highest = rank
 		}
--- /dev/null
+++ b/lib/hwplace/slope_test.go
@@ -0,0 +1,35 @@
+package hwplace_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+)
+
+// BenchmarkChoose gives the cost of one choice by upstreams and peers.
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []struct{ upstreams, peers int }{{9, 3}, {140, 34}, {3500, 120}} {
+		b.Run(fmt.Sprintf("upstreams-%d-peers-%d", size.upstreams, size.peers), func(b *testing.B) {
+			p := engines(size.upstreams)
+			for i := range uint64(2000) {
+				ask := report(i%200, i)
+				choice, _ := p.Choose(start, ask)
+				p.Ended(start, p.Begin(start, choice, ask), false)
+			}
+			for peer := range size.peers {
+				var loads []hwplace.PeerLoad
+				for u := range min(40, size.upstreams) {
+					loads = append(loads, hwplace.PeerLoad{Upstream: "engine-" + strconv.Itoa((peer*7+u)%size.upstreams), Tokens: 1000, Running: 1})
+				}
+				p.SetPeer(start, "router-"+strconv.Itoa(peer), loads)
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				p.Choose(start.Add(time.Duration(i)), report(uint64(i%200), uint64(i)))
+			}
+		})
+	}
+}
--- a/lib/hwprompt/index.go
+++ b/lib/hwprompt/index.go
@@ -149,5 +149,8 @@
 // Forget drops an upstream, because it left or started again with an empty cache.
 func (x *Index) Forget(upstream string) { delete(x.caches, upstream) }
 
-// Rank orders upstreams for a part by rendezvous hashing: every router gets the same order without asking, and one upstream less moves only its own parts.
-func Rank(chain uint64, upstream string) uint64 { return mix(chain, xxhash.Sum64String(upstream)) }
+// Hash returns the hash of an upstream's id.
+func Hash(upstream string) uint64 { return xxhash.Sum64String(upstream) }
+
+// Rank orders upstreams, given by the hashes of their ids, for a part by rendezvous hashing: every router gets the same order without asking, and one upstream less moves only its own parts.
+func Rank(chain, upstream uint64) uint64 { return mix(chain, upstream) }
--- a/lib/hwprompt/index_test.go
+++ b/lib/hwprompt/index_test.go
@@ -66,7 +66,7 @@
 		first := func(skip int) int {
 			best := -1
 			for i := range count {
-				if i != skip && (best < 0 || hwprompt.Rank(chain, strconv.Itoa(i)) > hwprompt.Rank(chain, strconv.Itoa(best))) {
+				if i != skip && (best < 0 || hwprompt.Rank(chain, hwprompt.Hash(strconv.Itoa(i))) > hwprompt.Rank(chain, hwprompt.Hash(strconv.Itoa(best)))) {
 					best = i
 				}
 			}
