--- a/lib/hwevent/catalogue.go
+++ b/lib/hwevent/catalogue.go
@@ -8,6 +8,8 @@
 	RouterStopped         = register(1003, Info, "router-stopped", "A router finished every request in flight and closed its listeners.")
 	LinesDropped          = register(1004, Warn, "lines-dropped", "Log lines were left out because they could not be written fast enough; refusals and failures are left out last.")
 	LibraryLine           = register(1005, Debug, "library-line", "A line logged by a library.")
+	SettingsReloaded      = register(1006, Info, "settings-reloaded", "The settings file was read again; the line says whether a part takes effect only with the next start.")
+	SettingsRefused       = register(1007, Error, "settings-refused", "The settings file can't be used; the settings in force stay.")
 	DocumentInForce       = register(1101, Info, "document-in-force", "A new version of the document is in force.")
 	DocumentRefused       = register(1102, Error, "document-refused", "A document was refused; the one in force stays.")
 	DocumentOlder         = register(1103, Warn, "document-older", "An older version of the document was offered and ignored.")
--- a/lib/hwforward/forward_test.go
+++ b/lib/hwforward/forward_test.go
@@ -223,8 +223,11 @@
 	assert.Zero(t, w.runs())
 }
 
+// streamEvents is the number of events of a whole stream.
+const streamEvents = 20
+
 // stream answers with events from the id after the caller's last one, and stops as told.
-func stream(last int, breakAfter int, torn bool) http.HandlerFunc {
+func stream(breakAfter int, torn bool) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		rw.Header().Set("X-Id", r.Header.Get("X-Id"))
@@ -232,7 +235,7 @@
 		rw.Header().Set("Content-Type", "text/event-stream")
 		rw.WriteHeader(http.StatusOK)
 		control := http.NewResponseController(rw)
-		for id := first + 1; id <= last; id++ {
+		for id := first + 1; id <= streamEvents; id++ {
 			if breakAfter > 0 && id > breakAfter {
 				if torn {
 					_, _ = fmt.Fprintf(rw, "id: %d\ndata: ha", id)
@@ -255,16 +258,16 @@
 }
 
 func TestAStreamIsRelayed(t *testing.T) {
-	w := newWorld(t, stream(20, 0, false))
+	w := newWorld(t, stream(0, false))
 	got := w.call(http.MethodPost, "/stream/1", "x")
 	assert.True(t, got.whole)
-	assert.Equal(t, events(1, 20), got.body)
+	assert.Equal(t, events(1, streamEvents), got.body)
 	assert.Equal(t, "sig-of-u0", got.header.Get("X-Signed"))
 }
 
 // A stream that may not resume and breaks off looks cut to its caller, with whole events only, and never runs again.
 func TestABrokenStreamLooksCut(t *testing.T) {
-	w := newWorld(t, stream(20, 7, true), stream(20, 7, true))
+	w := newWorld(t, stream(7, true), stream(7, true))
 	got := w.call(http.MethodPost, "/stream/1", "x")
 	assert.False(t, got.whole)
 	assert.Equal(t, events(1, 7), got.body)
@@ -277,15 +280,15 @@
 		var first atomic.Bool
 		either := func(rw http.ResponseWriter, r *http.Request) {
 			if first.CompareAndSwap(false, true) {
-				stream(20, 7, torn)(rw, r)
+				stream(7, torn)(rw, r)
 				return
 			}
-			stream(20, 0, false)(rw, r)
+			stream(0, false)(rw, r)
 		}
 		w := newWorld(t, either, either)
 		got := w.call(http.MethodPost, "/resumable/1", "x")
 		assert.True(t, got.whole)
-		assert.Equal(t, events(1, 20), got.body)
+		assert.Equal(t, events(1, streamEvents), got.body)
 		assert.Equal(t, 2, w.runs())
 		for _, count := range w.served {
 			assert.EqualValues(t, 1, count.Load(), "each upstream runs it once")
@@ -298,19 +301,19 @@
 	var first atomic.Bool
 	either := func(rw http.ResponseWriter, r *http.Request) {
 		if first.CompareAndSwap(false, true) {
-			stream(20, 7, false)(rw, r)
+			stream(7, false)(rw, r)
 			return
 		}
 		r.Header.Del("Last-Event-Id")
-		stream(20, 0, false)(rw, r)
+		stream(0, false)(rw, r)
 	}
 	w := newWorld(t, either, either)
-	assert.Equal(t, events(1, 20), w.call(http.MethodPost, "/resumable/1", "x").body)
+	assert.Equal(t, events(1, streamEvents), w.call(http.MethodPost, "/resumable/1", "x").body)
 }
 
 func TestACallerMayResumeItself(t *testing.T) {
-	w := newWorld(t, stream(20, 0, false))
-	assert.Equal(t, events(6, 20), w.call(http.MethodPost, "/resumable/1", "x", "Last-Event-Id", "5").body)
+	w := newWorld(t, stream(0, false))
+	assert.Equal(t, events(6, streamEvents), w.call(http.MethodPost, "/resumable/1", "x", "Last-Event-Id", "5").body)
 }
 
 // Pattern: a request that crashes every upstream that runs it. It is stopped after two, here and at a router that hears of it.
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -261,10 +261,3 @@
 
 // InFlight returns the number of requests being served.
 func (r *Router) InFlight() int64 { return r.inFlight.Load() }
-
-// draw returns a random number in [0, 1).
-func (r *Router) draw() float64 {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	return r.random.Float64()
-}
--- a/lib/hwlink/link.go
+++ b/lib/hwlink/link.go
@@ -337,7 +337,7 @@
 // readHead reads the answer's head. An answer that echoes another id came late for an earlier request: it is skipped if its length is known.
 func (a *Answer) readHead() *Failure {
 	for skipped := 0; ; skipped++ {
-		response, err := http.ReadResponse(a.conn.reader, &http.Request{
+		response, err := http.ReadResponse(a.conn.reader, &http.Request{ //nolint:bodyclose // Closing the body would read it; the connection is closed or drained instead.
 			Method: a.request.Method,
 		})
 		if err != nil {
