--- a/lib/hwevent/writer.go
+++ b/lib/hwevent/writer.go
@@ -52,30 +52,44 @@
 	return strings.Contains(text, `"level":"warn"`) || strings.Contains(text, `"level":"error"`) || strings.Contains(text, `"name":"request-refused"`)
 }
 
+// batchBytes bounds what is written at once: many short lines cost one system call.
+const batchBytes = 16 << 10
+
 func (q *Queue) run(ctx context.Context, out io.Writer) error {
+	var batch []byte
 	for {
 		select {
 		case line := <-q.lines:
-			q.put(out, line)
+			batch = q.gather(append(batch[:0], line...))
+			q.put(out, batch)
 		case <-ctx.Done():
-			for {
-				select {
-				case line := <-q.lines:
-					q.put(out, line)
-				default:
-					return nil
-				}
+			if batch = q.gather(batch[:0]); len(batch) == 0 {
+				return nil
 			}
+			q.put(out, batch)
+		}
+	}
+}
+
+// gather adds the lines that wait, up to the bound.
+func (q *Queue) gather(batch []byte) []byte {
+	for len(batch) < batchBytes {
+		select {
+		case line := <-q.lines:
+			batch = append(batch, line...)
+		default:
+			return batch
 		}
 	}
+	return batch
 }
 
-func (q *Queue) put(out io.Writer, line []byte) {
+func (q *Queue) put(out io.Writer, batch []byte) {
 	if dropped := q.dropped.Swap(0); dropped > 0 {
-		line = append(line, `{"level":"warn","event":`+strconv.Itoa(LinesDropped.Number)+`,"name":"`+LinesDropped.Name+`","count":`+strconv.FormatInt(dropped, 10)+"}\n"...)
+		batch = append(batch, `{"level":"warn","event":`+strconv.Itoa(LinesDropped.Number)+`,"name":"`+LinesDropped.Name+`","count":`+strconv.FormatInt(dropped, 10)+"}\n"...)
 	}
 	// A log that can't be written has nobody to tell.
-	_, _ = out.Write(line)
+	_, _ = out.Write(batch)
 }
 
 // Close writes what waits and ends the queue. A reader that has stalled holds it up.
--- a/lib/hwfleet/fleet.go
+++ b/lib/hwfleet/fleet.go
@@ -109,27 +109,18 @@
 	stop := context.AfterFunc(ctx, func() { _ = f.socket.Close() })
 	defer stop()
 	receiving := hwtask.Start(ctx, f.receive)
-	timer := time.NewTimer(f.settings.Every)
-	defer timer.Stop()
+	ticker := time.NewTicker(f.settings.Every)
+	defer ticker.Stop()
 	for {
 		select {
-		case <-timer.C:
+		case <-ticker.C:
 			f.send(f.now())
-			timer.Reset(f.pace(f.now()))
 		case <-ctx.Done():
 			return hwtask.Join(receiving)
 		}
 	}
 }
 
-// paceFleet is the number of peers with which the time between datagrams has doubled: what a router sends and receives then grows more slowly than the fleet.
-const paceFleet = 16
-
-// pace returns the time to the next datagram.
-func (f *Fleet) pace(now time.Time) time.Duration {
-	return f.settings.Every + f.settings.Every*time.Duration(f.Peers(now))/paceFleet
-}
-
 // largestDatagram bounds a datagram, in bytes.
 const largestDatagram = 60_000
 
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwadmit"
@@ -44,6 +45,15 @@
 func (d *delivery) run(ctx context.Context) {
 	unsent := 0
 	for {
+		// On a busy processor the goroutine that notices a closed connection may not have run yet; nothing is sent for a caller that has gone.
+		runtime.Gosched()
+		if ctx.Err() != nil {
+			d.ended(ctx, attempt{
+				outcome: notRun,
+				cause:   ctx.Err(),
+			})
+			return
+		}
 		refusal := d.choose(ctx)
 		if refusal != nil {
 			d.refuse(refusal)
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -45,6 +45,9 @@
 	CachePart float64
 	// HomeDiscount is the part of a prompt that counts as held by the upstream where the others would read it first.
 	HomeDiscount float64
+	// EngineSpread is the range of chance in the choice of an engine, in milliseconds; RequestSpread that in the choice of a plain upstream, as a part of a request's time.
+	EngineSpread  float64
+	RequestSpread float64
 	// RequestMS is the time of a plain service's request until answers have shown better.
 	RequestMS float64
 }
@@ -275,7 +278,7 @@
 		if id == home {
 			score -= p.settings.HomeDiscount * float64(choice.Read) / p.rate.tokensPerMS
 		}
-		score += tieBreak(m.hash, ask.Draw)
+		score += p.spread() * chance(m.hash, ask.Draw)
 		if score < lowest {
 			best = choice
 			lowest = score
@@ -284,11 +287,19 @@
 	return best, !math.IsInf(lowest, 1)
 }
 
-// tieBreak is below a millisecond and differs by upstream and draw, so that equals are not always taken in the same order.
-func tieBreak(hash uint64, draw float64) float64 {
+// chance returns a number in [0, 1) that differs by upstream and draw.
+func chance(hash uint64, draw float64) float64 {
 	return float64(hwprompt.Rank(math.Float64bits(draw), hash)>>40) / (1 << 24)
 }
 
+// spread returns the range, in milliseconds, of the chance that is added to scores. Routers that choose by the same reports would otherwise all take the same upstream until the next reports.
+func (p *Pool) spread() float64 {
+	if p.engine {
+		return p.settings.EngineSpread
+	}
+	return p.settings.RequestSpread * p.requestMS
+}
+
 // weigh returns what a request would find at an upstream and its score in milliseconds; the lowest score is best.
 func (p *Pool) weigh(now time.Time, m *member, ask Ask, holder *member, held int) (Choice, float64) {
 	other := p.others(m.upstream.ID)
