--- a/cmd/hickorywickctl/main.go
+++ b/cmd/hickorywickctl/main.go
@@ -34,6 +34,7 @@
 	Fairness        fairnessCommand  `cmd:"" help:"Query: print service by account and the gap now."`
 	Upstreams       upstreamsCommand `cmd:"" help:"Query: print each upstream's slots, speed and health over the asked routers."`
 	Explain         explainCommand   `cmd:"" help:"Query: print why a request waited, where it went and how it ended."`
+	Story           storyCommand     `cmd:"" help:"Query: print a request's story from the saved logs of several routers."`
 	Report          reportCommand    `cmd:"" help:"Query: reports for operators and finance."`
 	Put             putCommand       `cmd:"" help:"Command: store a document file as the next version of its environment."`
 	Promote         promoteCommand   `cmd:"" help:"Command: make one environment's document the next version of another."`
@@ -131,6 +132,14 @@
 	return hwquery.Explain(ctx, os.Stdout, a.operators(), c.Request, c.output())
 }
 
+type storyCommand struct {
+	Request string   `arg:"" help:"Request id."`
+	Logs    []string `arg:"" type:"path" help:"Saved logs, one file for each router."`
+}
+
+// Run prints the story.
+func (c storyCommand) Run() error { return hwquery.Story(os.Stdout, c.Request, c.Logs) }
+
 type reportCommand struct {
 	Burn     burnCommand     `cmd:"" help:"How fast each service-level objective uses up its error budget."`
 	Usage    usageCommand    `cmd:"" help:"What each client account used of each pool, in cost units."`
