--- a/cmd/hickorywickctl/main_test.go
+++ b/cmd/hickorywickctl/main_test.go
@@ -31,6 +31,7 @@
 	"show":             {"trial"},
 	"history":          {"trial"},
 	"explain":          {"7f3a"},
+	"story":            {"7f3a", "front-1.log"},
 	"order":            {"--upstream=u", "--model=m", "--version=2"},
 	"rollback-forward": {"trial", "--version=1"},
 }
