--- a/lib/hwforward/forward_test.go
+++ b/lib/hwforward/forward_test.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// Pattern: replicas that take requests and never answer. A safe request goes elsewhere in time, and the silent upstream is avoided.
+func TestASafeRequestLeavesASilentUpstream(t *testing.T) {
+	silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	w := newWorld(t, silent, good)
+	for range 8 {
+		got := w.call(http.MethodGet, "/safe/1", "")
+		assert.Equal(t, http.StatusOK, got.status)
+	}
+	assert.Less(t, w.served[0].Load(), int32(5))
+}
+
 // A safe request runs at most as often as its route allows, and the last upstream's own failure is relayed as it is.
 func TestMaxAttemptsBoundsTheRuns(t *testing.T) {
 	failing := status(http.StatusInternalServerError)
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -232,11 +232,11 @@
 // try makes one attempt at the chosen upstream.
 func (d *delivery) try(ctx context.Context) attempt {
 	r := d.router
+	now := r.clock.Now()
 	// The end of the attempt ends the exchange, whatever way it is left.
-	ctx, cancel := context.WithCancel(ctx)
+	exchange, cancel := context.WithDeadline(ctx, d.attemptDeadline(now))
 	defer cancel()
-	now := r.clock.Now()
-	answer, failure := r.links.Do(ctx, now, &hwlink.Request{
+	answer, failure := r.links.Do(exchange, now, &hwlink.Request{
 		Address: d.choice.Upstream.Address,
 		Method:  d.request.Method,
 		Target:  target(d.request),
@@ -283,6 +283,25 @@
 	return d.whole(ctx, answer, facts)
 }
 
+// attemptDeadline returns when an attempt is given up. A plain request that may still be tried elsewhere does not wait all its time for an upstream that has gone silent.
+func (d *delivery) attemptDeadline(now time.Time) time.Time {
+	if d.route.Streaming || !d.route.Idempotent || d.ran+1 >= d.route.MaxAttempts {
+		return d.deadline
+	}
+	patience := now.Add(max(silentFloor, time.Duration(silentObjectives*float64(d.route.Objective))))
+	if patience.After(d.deadline) {
+		return d.deadline
+	}
+	return patience
+}
+
+const (
+	// silentObjectives is how many objectives long a plain upstream may keep a request that can be tried elsewhere: an answer after that is late in any case.
+	silentObjectives = 1.5
+	// silentFloor is the least such time; a slow moment of an upstream is no reason to run a request twice.
+	silentFloor = 200 * time.Millisecond
+)
+
 // resumeAfter returns the last event that the caller has, of this answer or of the one that it asks to go on with.
 func (d *delivery) resumeAfter() string {
 	if d.lastEvent != "" {
