--- a/lib/hwfollow/follow.go
+++ b/lib/hwfollow/follow.go
@@ -208,6 +208,14 @@
 	defer f.lock.Unlock()
 	f.state.list = list
 	f.state.digest = Digest(list)
+	if f.list.Completing(now) {
+		// Other routers had better ask elsewhere.
+		f.state.listAt = unknownAt
+		return nil
+	}
 	f.state.listAt = max(f.state.listAt, boot-answer.Age)
 	return nil
 }
+
+// unknownAt is the time of a list that must not be passed on: older than any that is.
+const unknownAt = time.Nanosecond
--- a/lib/hwfollow/follow_test.go
+++ b/lib/hwfollow/follow_test.go
@@ -138,7 +138,24 @@
 	}
 }
 
-func run(t *testing.T, source *source, sink *recorder, boot func() time.Duration) {
+// A router that was cut off keeps what is missing from its list for a moment. It does not tell others to do the same, since for them it has left.
+func TestAListThatIsBeingCompletedIsNotPassedOn(t *testing.T) {
+	source, sink := &source{revision: 1}, &recorder{}
+	f := run(t, source, sink, func() time.Duration { return time.Hour })
+	fresh := func() bool {
+		state, known := f.State()
+		return known && state.ListAge < time.Minute
+	}
+	require.Eventually(t, fresh, 5*time.Second, time.Millisecond)
+	source.failing.Store(true)
+	asked := source.asked.Load()
+	require.Eventually(t, func() bool { return source.asked.Load() > asked+3 }, 5*time.Second, time.Millisecond)
+	source.failing.Store(false)
+	require.Eventually(t, func() bool { return !fresh() }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, fresh, 5*time.Second, time.Millisecond, "after the time for lapsed entries")
+}
+
+func run(t *testing.T, source *source, sink *recorder, boot func() time.Duration) *hwfollow.Follower {
 	t.Helper()
 	f := hwfollow.New(hwfollow.Settings{
 		TableEvery: 5 * time.Millisecond,
@@ -156,6 +173,7 @@
 		cancel()
 		assert.NoError(t, hwtask.Join(done))
 	})
+	return f
 }
 
 func TestANewVersionIsTakenOnceAndConfirmedAgainAndAgain(t *testing.T) {
--- a/lib/hwfollow/lapsing.go
+++ b/lib/hwfollow/lapsing.go
@@ -37,7 +37,7 @@
 		listed[u.ID] = u
 	}
 	merged := list
-	if !l.regained.IsZero() && now.Sub(l.regained) < l.lapse {
+	if l.Completing(now) {
 		for id, u := range l.known {
 			if _, found := listed[id]; !found {
 				listed[id] = u
@@ -49,6 +49,11 @@
 	return merged
 }
 
+// Completing reports whether lists are being completed after an outage. Such a list is right only for a router that had the outage: to others, what is missing has left.
+func (l *Lapsing) Completing(now time.Time) bool {
+	return !l.regained.IsZero() && now.Sub(l.regained) < l.lapse
+}
+
 // Replace takes a list that needs no completing.
 func (l *Lapsing) Replace(list []hwplace.Upstream) {
 	l.lost = false
