An account that gets much less than the best served one may go to another engine

Change: below 0.65 of the best served account's rate the detour is taken before a refusal. A pool that turns from a plain service into an engine starts anew; the test found that it did not.

--- a/lib/hwadmit/admit.go
+++ b/lib/hwadmit/admit.go
@@ -62,3 +62,8 @@
 		RetryAfter: max(s.ReturnFloor, r.Wait-limit) + time.Duration(r.Draw*float64(s.ReturnSpread)),
 	}
 }
+
+// Limit returns the largest wait of an account that has all of its share.
+func (s Settings) Limit(objective time.Duration) time.Duration {
+	return time.Duration(s.WaitPart * float64(objective))
+}
--- a/lib/hwadmit/admit_test.go
+++ b/lib/hwadmit/admit_test.go
@@ -129,3 +129,17 @@
 	}
 	assert.Equal(t, 17500*time.Microsecond, last.Round(time.Microsecond))
 }
+
+// Pattern: two accounts over their share, the homes of one's subjects taken, those of the other's idle. The first is behind.
+func TestAnAccountThatGetsMuchLessThanTheBestServedIsBehind(t *testing.T) {
+	shares := hwadmit.NewShares(2 * time.Second)
+	for account, given := range map[string]float64{"taken": 340_000, "idle": 840_000, "small": 2_000} {
+		shares.Asked(start, account, 1_300_000)
+		shares.Given(start, account, given)
+	}
+	const throughput = 620_000
+	assert.True(t, shares.Behind(start, "taken", throughput))
+	assert.False(t, shares.Behind(start, "idle", throughput))
+	assert.False(t, shares.Behind(start.Add(time.Second), "small", 1e9), "nobody is behind while everybody gets what they ask for")
+	assert.Equal(t, 350*time.Millisecond, settings.Limit(time.Second))
+}
--- a/lib/hwadmit/shares.go
+++ b/lib/hwadmit/shares.go
@@ -34,8 +34,10 @@
 	own    map[string]*meter
 	peers  map[string]peerUse
 	// sum and level are the fleet's rates and the fair rate as of summed; they are kept for a moment.
-	sum    map[string]Use
-	level  float64
+	sum   map[string]Use
+	level float64
+	// most is the highest rate that an account was given.
+	most   float64
 	summed time.Time
 }
 
@@ -140,17 +142,34 @@
 
 // Ratio returns an account's use as a part of its fair rate. Below 1 it is owed more. It is 0 when everybody gets what they ask for.
 func (s *Shares) Ratio(now time.Time, account string, throughput float64) float64 {
-	if s.sum == nil || now.Sub(s.summed) >= sumAge {
-		s.sum = s.Fleet(now)
-		s.summed = now
-		asked := make([]float64, 0, len(s.sum))
-		for _, use := range s.sum {
-			asked = append(asked, use.Asked)
-		}
-		s.level = Level(throughput, asked)
-	}
+	s.refresh(now, throughput)
 	if math.IsInf(s.level, 1) || s.level <= 0 {
 		return 0
 	}
 	return s.sum[account].Given / s.level
 }
+
+// behindPart is the part of the best served account's rate below which an account is behind. Half would be too late: the rates are averages.
+const behindPart = 0.65
+
+// Behind reports whether an account gets much less than the best served one while not everybody gets what they ask for.
+func (s *Shares) Behind(now time.Time, account string, throughput float64) bool {
+	s.refresh(now, throughput)
+	return !math.IsInf(s.level, 1) && s.sum[account].Given < behindPart*s.most
+}
+
+// refresh works out the fleet's rates and the fair rate anew when they are no longer fresh.
+func (s *Shares) refresh(now time.Time, throughput float64) {
+	if s.sum != nil && now.Sub(s.summed) < sumAge {
+		return
+	}
+	s.sum = s.Fleet(now)
+	s.summed = now
+	s.most = 0
+	asked := make([]float64, 0, len(s.sum))
+	for _, use := range s.sum {
+		asked = append(asked, use.Asked)
+		s.most = max(s.most, use.Given)
+	}
+	s.level = Level(throughput, asked)
+}
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -115,6 +115,12 @@
 		return false
 	}
 	r.table.Store(table)
+	for name, p := range r.pools {
+		// What was learned about a plain service says nothing about an engine.
+		if described, known := table.Pool(name); known && p.Engine() != (described.Engine != nil) {
+			delete(r.pools, name)
+		}
+	}
 	for name, list := range r.upstreams {
 		r.update(now, name, list)
 	}
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -186,19 +186,19 @@
 		}
 		return refuse(hwerror.KindNoUpstream, "the pool has no upstream").WithRetryAfter(noUpstreamRetry)
 	}
+	d.choice = choice
 	if d.sends == 0 {
-		if refusal := d.take(now, choice, pool.Engine()); refusal != nil {
+		if refusal := d.take(now, pool, ask); refusal != nil {
 			return refusal
 		}
 	}
 	d.sends++
-	d.choice = choice
-	d.ticket = pool.Begin(now, choice, ask)
+	d.ticket = pool.Begin(now, d.choice, ask)
 	if pool.Engine() {
 		for _, link := range d.prompt.Links() {
 			r.news.Readings = append(r.news.Readings, Reading{
 				Pool:     d.pool,
-				Upstream: choice.Upstream.ID,
+				Upstream: d.choice.Upstream.ID,
 				Link:     link,
 			})
 		}
@@ -206,24 +206,34 @@
 	return nil
 }
 
-// take decides whether the request is taken. The lock must be held.
-func (d *delivery) take(now time.Time, choice hwplace.Choice, engine bool) *hwerror.Refusal {
+// take decides whether the request is taken. An account that gets much less than the best served one may go to an upstream that holds less of its prompt but keeps it waiting less: the homes of its subjects are taken, those of the other account's are not. The lock must be held.
+func (d *delivery) take(now time.Time, pool *hwplace.Pool, ask hwplace.Ask) *hwerror.Refusal {
 	r := d.router
-	if engine && d.account != "" {
+	metered := pool.Engine() && d.account != ""
+	if metered {
 		r.shares.Asked(now, d.account, d.cost)
 		d.ratio = r.shares.Ratio(now, d.account, r.table.Load().Limits().TokensPerSecond)
 	}
-	d.wait = choice.Wait
+	d.wait = d.choice.Wait
 	verdict := r.settings.Admit.Decide(hwadmit.Request{
-		Wait:      choice.Wait,
+		Wait:      d.wait,
 		Objective: d.route.Objective,
 		Ratio:     d.ratio,
 		Draw:      r.random.Float64(),
 	})
 	if !verdict.Admitted {
-		return refuse(hwerror.KindDeadline, "the wait would be too long").WithRetryAfter(verdict.RetryAfter)
+		if !metered || !r.shares.Behind(now, d.account, r.table.Load().Limits().TokensPerSecond) {
+			return refuse(hwerror.KindDeadline, "the wait would be too long").WithRetryAfter(verdict.RetryAfter)
+		}
+		ask.Within = r.settings.Admit.Limit(d.route.Objective)
+		other, found := pool.Choose(now, ask)
+		if !found {
+			return refuse(hwerror.KindDeadline, "the wait would be too long").WithRetryAfter(verdict.RetryAfter)
+		}
+		d.choice = other
+		d.wait = other.Wait
 	}
-	if engine && d.account != "" {
+	if metered {
 		r.shares.Given(now, d.account, d.cost)
 	}
 	return nil
--- /dev/null
+++ b/lib/hwforward/share_test.go
@@ -0,0 +1,52 @@
+package hwforward_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/hickorywick/hickorywick/lib/hwadmit"
+	"github.com/hickorywick/hickorywick/lib/hwforward"
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+	"github.com/hickorywick/hickorywick/lib/hwtable"
+)
+
+// Pattern: an account that floods and one that gets much less than it, whose prompt's home is busy. The second goes to an idle engine, the first is refused.
+func TestAnAccountThatIsBehindGoesToAnIdleEngine(t *testing.T) {
+	w := newWorld(t, good, good)
+	w.router.SetTable(w.clock.now(), hwtable.New(hwtable.Contents{
+		Version:  2,
+		Routes:   routes(),
+		Pools:    []hwtable.Pool{{Name: "ledger", Engine: &hwtable.Engine{Slots: 6, CacheTokens: 500_000}}},
+		Accounts: []hwtable.Account{{Name: "flood", Keys: []string{"flood"}}, {Name: "behind", Keys: []string{"behind"}}},
+		Limits:   hwtable.Limits{BodyBytes: 1 << 20, TokensPerSecond: 1000},
+	}))
+	w.confirm()
+	busy := func(upstream string) hwplace.PeerLoad {
+		return hwplace.PeerLoad{Upstream: upstream, Tokens: 100_000, Running: 1}
+	}
+	use := map[string]hwadmit.Use{
+		"flood":  {Asked: 90_000, Given: 40_000},
+		"behind": {Asked: 90_000, Given: 9_000},
+	}
+	hear := func(loads ...hwplace.PeerLoad) {
+		w.router.Hear(w.clock.now(), "peer", newsOf(use, loads))
+	}
+	// With every engine busy both are refused.
+	hear(busy("u0"), busy("u1"))
+	for _, key := range []string{"flood", "behind"} {
+		assert.Equal(t, http.StatusServiceUnavailable, w.call(http.MethodGet, "/safe/1", "", "X-Key", key).status, key)
+	}
+	assert.Zero(t, w.runs())
+	hear(busy("u0"))
+	assert.Equal(t, http.StatusOK, w.call(http.MethodGet, "/safe/1", "", "X-Key", "behind").status)
+	assert.EqualValues(t, 1, w.served[1].Load())
+}
+
+func newsOf(use map[string]hwadmit.Use, loads []hwplace.PeerLoad) hwforward.News {
+	return hwforward.News{
+		Loads: map[string][]hwplace.PeerLoad{"ledger": loads},
+		Use:   use,
+	}
+}
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -75,6 +75,8 @@
 	Excluded []string
 	// Draw lies in [0, 1) and breaks ties.
 	Draw float64
+	// Within bounds the estimated wait when it is above 0.
+	Within time.Duration
 	// Probing requests may go to an upstream that has failed lately; a request that can run only once should not.
 	Probing bool
 }
@@ -275,6 +277,9 @@
 			continue
 		}
 		choice, score := p.weigh(now, m, ask, holder, held)
+		if ask.Within > 0 && choice.Wait > ask.Within {
+			continue
+		}
 		if id == home {
 			score -= p.settings.HomeDiscount * float64(choice.Read) / p.rate.tokensPerMS
 		}
