--- a/lib/hwfollow/follow_test.go
+++ b/lib/hwfollow/follow_test.go
@@ -64,6 +64,17 @@
 	assert.ElementsMatch(t, []string{"a", "b"}, ids(lapsing.Take(now, list("a", "b"))))
 }
 
+// An entry that was listed since the outage and is missing again has left, also while others are still awaited.
+func TestAnEntryThatLeavesJustAfterAnOutageIsGoneAtOnce(t *testing.T) {
+	lapsing := hwfollow.NewLapsing(2 * time.Second)
+	lapsing.Take(start, list("a", "b", "c"))
+	lapsing.Lost(start.Add(time.Second))
+	now := start.Add(4 * time.Second)
+	assert.ElementsMatch(t, []string{"a", "b", "c"}, ids(lapsing.Take(now, list("a", "b"))))
+	assert.ElementsMatch(t, []string{"b", "c"}, ids(lapsing.Take(now.Add(time.Second), list("b"))))
+	assert.Equal(t, []string{"b"}, ids(lapsing.Take(now.Add(2*time.Second), list("b"))))
+}
+
 // source answers as tests say.
 type source struct {
 	lock     sync.Mutex
--- a/lib/hwfollow/lapsing.go
+++ b/lib/hwfollow/lapsing.go
@@ -1,6 +1,7 @@
 package hwfollow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwplace"
@@ -10,6 +11,8 @@
 type Lapsing struct {
 	lapse time.Duration
 	known map[string]hwplace.Upstream
+	// awaited are the upstreams that were known before an outage and have not been listed since it ended.
+	awaited map[string]hwplace.Upstream
 	// lost tells that the last question failed, regained is when one succeeded again.
 	lost     bool
 	regained time.Time
@@ -26,26 +29,28 @@
 // Lost notes a failed question.
 func (l *Lapsing) Lost(time.Time) { l.lost = true }
 
-// Take returns the list with the upstreams that are missing for a moment only. One that was leaving stays leaving.
+// Take returns the list with the upstreams that are missing for a moment only. One that was leaving stays leaving; one that was listed since the outage and is missing again has left.
 func (l *Lapsing) Take(now time.Time, list []hwplace.Upstream) []hwplace.Upstream {
 	if l.lost {
 		l.lost = false
 		l.regained = now
+		l.awaited = l.known
 	}
-	listed := make(map[string]hwplace.Upstream, len(list))
+	l.known = make(map[string]hwplace.Upstream, len(list))
 	for _, u := range list {
-		listed[u.ID] = u
+		l.known[u.ID] = u
+		delete(l.awaited, u.ID)
+	}
+	if !l.Completing(now) {
+		l.awaited = nil
+		return list
 	}
-	merged := list
-	if l.Completing(now) {
-		for id, u := range l.known {
-			if _, found := listed[id]; !found {
-				listed[id] = u
-				merged = append(merged, u)
-			}
-		}
+	merged := slices.Clone(list)
+	for id, u := range l.awaited {
+		// Another outage must find it again.
+		l.known[id] = u
+		merged = append(merged, u)
 	}
-	l.known = listed
 	return merged
 }
 
@@ -57,6 +62,7 @@
 // Replace takes a list that needs no completing.
 func (l *Lapsing) Replace(list []hwplace.Upstream) {
 	l.lost = false
+	l.awaited = nil
 	l.known = make(map[string]hwplace.Upstream, len(list))
 	for _, u := range list {
 		l.known[u.ID] = u
