One pause for all packages, goroutines with owners; an attempt's deadline never beats the request's

Cause: TestTheRoutesTimeEndsARequest failed once (502 for 504) while the machine was busy: the attempt had a deadline of its own at the same moment as the request's, and its end was seen first and blamed on the upstream. Ruled out: load as such; with one deadline the order is fixed. Change: an attempt that may take all the time has no deadline of its own.

--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 
 lint: tools ## Formatter and linter; fails on any finding.
 	test -z "$$($(GOBIN)/gofumpt -l $(MODULES))"
+	test -z "$$(gofmt -l $(MODULES))"
 	for module in $(MODULES); do (cd $$module && $(GOBIN)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
 generate: ## Generated code, committed; needs protoc, protoc-gen-go v1.36.12 and protoc-gen-go-drpc v1.1.0.
--- a/lib/hwfollow/follow.go
+++ b/lib/hwfollow/follow.go
@@ -153,23 +153,11 @@
 			f.logger.Emit(hwevent.StoreReachable, hwevent.With("question", what), hwevent.With("lost-ms", f.clock.Now().Sub(lostAt).Milliseconds()))
 			lostAt = time.Time{}
 		}
-		pause(ctx, wait)
+		hwtask.Pause(ctx, wait)
 	}
 	return nil
 }
 
-func pause(ctx context.Context, span time.Duration) {
-	if span <= 0 {
-		return
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (f *Follower) askTable(ctx context.Context) error {
 	// What the answer says was true at some time after the question, so the question's time is the safe one.
 	at, boot := f.clock.Now(), f.clock.Boot()
--- a/lib/hwforward/quarantine.go
+++ b/lib/hwforward/quarantine.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwquarantine"
+	"github.com/hickorywick/hickorywick/lib/hwtask"
 )
 
 // suspect is a request that was at an upstream when its connection broke. It becomes a strike only if the upstream turns out to have crashed: connections also break for other reasons.
@@ -45,18 +47,46 @@
 		return
 	}
 	// The caller's end must not stop the check.
-	ctx = context.WithoutCancel(ctx)
-	go func(ctx context.Context) {
-		time.Sleep(crashCheckDelay)
+	r.checks.start(context.WithoutCancel(ctx), func(ctx context.Context) error {
+		hwtask.Pause(ctx, crashCheckDelay)
 		ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 		defer cancel()
 		if r.links.Listens(ctx, address) {
-			return
+			return nil
 		}
 		r.lock.Lock()
 		defer r.lock.Unlock()
 		r.convict(r.clock.Now(), upstream)
-	}(ctx)
+		return nil
+	})
+}
+
+// checks are the running looks for crashed upstreams. Their ends are read when another starts and when the router closes.
+type checks struct {
+	lock  sync.Mutex
+	tasks []<-chan error
+}
+
+func (c *checks) start(ctx context.Context, work func(context.Context) error) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.tasks = slices.DeleteFunc(c.tasks, func(task <-chan error) bool {
+		select {
+		case err := <-task:
+			// A look can't fail: an upstream that does not answer is what it looks for.
+			return err == nil
+		default:
+			return false
+		}
+	})
+	c.tasks = append(c.tasks, hwtask.Start(ctx, work))
+}
+
+// Close waits for what the router still looks into.
+func (r *Router) Close() error {
+	r.checks.lock.Lock()
+	defer r.checks.lock.Unlock()
+	return hwtask.Join(r.checks.tasks...)
 }
 
 // convict turns the suspects of an upstream that crashed into strikes. The lock must be held.
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -68,6 +68,7 @@
 	logger   *hwevent.Logger
 	clock    Clock
 	metrics  Metrics
+	checks   checks
 
 	table     atomic.Pointer[hwtable.Table]
 	confirmed atomic.Pointer[confirmed]
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -244,7 +244,7 @@
 	r := d.router
 	now := r.clock.Now()
 	// The end of the attempt ends the exchange, whatever way it is left.
-	exchange, cancel := context.WithDeadline(ctx, d.attemptDeadline(now))
+	exchange, cancel := d.attemptContext(ctx, now)
 	defer cancel()
 	answer, failure := r.links.Do(exchange, now, &hwlink.Request{
 		Address: d.choice.Upstream.Address,
@@ -293,16 +293,15 @@
 	return d.whole(ctx, answer, facts)
 }
 
-// attemptDeadline returns when an attempt is given up. A plain request that may still be tried elsewhere does not wait all its time for an upstream that has gone silent.
-func (d *delivery) attemptDeadline(now time.Time) time.Time {
-	if d.route.Streaming || !d.route.Idempotent || d.ran+1 >= d.route.MaxAttempts {
-		return d.deadline
+// attemptContext returns the context of an attempt. A plain request that may still be tried elsewhere does not wait all its time for an upstream that has gone silent.
+//
+// An attempt that may take all the time gets no deadline of its own: the two would end at the same moment, and the attempt's end could be seen first and taken for the upstream's failure.
+func (d *delivery) attemptContext(ctx context.Context, now time.Time) (context.Context, context.CancelFunc) {
+	patience := max(silentFloor, time.Duration(silentObjectives*float64(d.route.Objective)))
+	if d.route.Streaming || !d.route.Idempotent || d.ran+1 >= d.route.MaxAttempts || now.Add(patience).After(d.deadline) {
+		return context.WithCancel(ctx)
 	}
-	patience := now.Add(max(silentFloor, time.Duration(silentObjectives*float64(d.route.Objective))))
-	if patience.After(d.deadline) {
-		return d.deadline
-	}
-	return patience
+	return context.WithTimeout(ctx, patience)
 }
 
 const (
--- a/lib/hwfront/server.go
+++ b/lib/hwfront/server.go
@@ -131,7 +131,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.settings.StopTime)
 	defer cancel()
 	for ctx.Err() == nil && (s.now().Sub(began) < s.settings.DrainTime || s.router.InFlight() > 0) {
-		pause(ctx, idlePoll)
+		hwtask.Pause(ctx, idlePoll)
 	}
 	failures := make([]error, 0, len(s.servers))
 	for _, server := range s.servers {
@@ -143,12 +143,3 @@
 	s.logger.Emit(hwevent.RouterStopped, hwevent.With("instance", s.settings.Instance), hwevent.With("in-flight", s.router.InFlight()), hwevent.With("ms", s.now().Sub(began).Milliseconds()))
 	return trace.NewAggregate(failures...)
 }
-
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/lib/hwlink/link.go
+++ b/lib/hwlink/link.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/hickorywick/hickorywick/lib/hwtask"
 )
 
 // Settings bound connections to upstreams.
@@ -305,7 +307,7 @@
 	ended   func() error
 	request *Request
 	// written is set for a body that is written beside the reading; it is closed when all is written.
-	written chan error
+	written <-chan error
 	// unframed answers end with their connection.
 	unframed bool
 	closing  bool
@@ -322,12 +324,11 @@
 	if _, err := a.conn.Write(top); err != nil {
 		return err
 	}
-	a.written = make(chan error, 1)
-	go func(_ context.Context) {
+	// Closing the connection ends the writing.
+	a.written = hwtask.Start(context.Background(), func(context.Context) error {
 		_, err := a.conn.Write(a.request.Body)
-		a.written <- err
-		close(a.written)
-	}(context.Background())
+		return err
+	})
 	return nil
 }
 
--- a/lib/hwrouter/document.go
+++ b/lib/hwrouter/document.go
@@ -30,13 +30,13 @@
 func (r *Router) followDocument(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !r.watches() && r.inForce.Load() != nil {
-			pause(ctx, watchCheck)
+			hwtask.Pause(ctx, watchCheck)
 			continue
 		}
 		watch, cancel := context.WithCancel(ctx)
 		follow := hwtask.Start(watch, r.watchHead)
 		for watch.Err() == nil {
-			pause(watch, watchCheck)
+			hwtask.Pause(watch, watchCheck)
 			if !r.watches() && r.inForce.Load() != nil {
 				break
 			}
--- a/lib/hwrouter/members.go
+++ b/lib/hwrouter/members.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"github.com/hickorywick/hickorywick/lib/hwtask"
+
 	"github.com/gravitational/trace"
 
 	"github.com/hickorywick/hickorywick/lib/hwevent"
@@ -57,7 +59,7 @@
 			r.withTable(func(now time.Time) { r.table.Observe(now, list) })
 			r.noteListed(list)
 		}
-		pause(ctx, r.settings.Times.ListEvery)
+		hwtask.Pause(ctx, r.settings.Times.ListEvery)
 	}
 	return nil
 }
--- a/lib/hwrouter/once.go
+++ b/lib/hwrouter/once.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/hickorywick/hickorywick/lib/hwtask"
+
 	"github.com/gravitational/trace"
 
 	"github.com/hickorywick/hickorywick/lib/hwerror"
@@ -347,7 +349,7 @@
 func (i *intention) begin(ctx context.Context) (hwonce.Decision, keptAnswer) {
 	for n := range intendAttempts {
 		if n > 0 {
-			pause(ctx, intendPause)
+			hwtask.Pause(ctx, intendPause)
 		}
 		decision, kept, err := i.ask(ctx)
 		if err == nil && decision.Verdict != hwonce.NotOwner {
@@ -387,16 +389,18 @@
 	if reply.GetVerdict() > uint32(hwonce.NotOwner) || reply.GetOutcome() > uint32(hwonce.NotRun) {
 		return hwonce.Decision{}, keptAnswer{}, trace.BadParameter("the owner's answer cannot be read")
 	}
-	return hwonce.Decision{
+	decision := hwonce.Decision{
 		Verdict: hwonce.Verdict(reply.GetVerdict()),
 		Record: hwonce.Record{
 			Outcome: hwonce.Outcome(reply.GetOutcome()),
 			Status:  int(reply.GetStatus()),
 		},
-	}, keptAnswer{
+	}
+	answer := keptAnswer{
 		body:        reply.GetAnswer(),
 		contentType: reply.GetContentType(),
-	}, nil
+	}
+	return decision, answer, nil
 }
 
 // end tells the owner how the request ended, beside the caller's way, because the record follows lazily.
@@ -407,7 +411,7 @@
 	i.router.background.start(func(ctx context.Context) {
 		for n := range concludeAttempts {
 			if n > 0 {
-				pause(ctx, intendPause)
+				hwtask.Pause(ctx, intendPause)
 			}
 			if i.conclude(ctx, outcome, status, kept) {
 				return
--- a/lib/hwrouter/orders.go
+++ b/lib/hwrouter/orders.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/hickorywick/hickorywick/lib/hwtask"
+
 	"github.com/gravitational/trace"
 
 	"github.com/hickorywick/hickorywick/lib/hwdocument"
@@ -169,7 +171,7 @@
 		case hwfence.Send:
 			return nil
 		case hwfence.Wait:
-			pause(ctx, time.Until(until))
+			hwtask.Pause(ctx, time.Until(until))
 		case hwfence.Confirm:
 			sentAt := time.Now()
 			ttl, err := o.router.store.KeepAlive(ctx, o.id)
--- a/lib/hwrouter/report.go
+++ b/lib/hwrouter/report.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/hickorywick/hickorywick/lib/hwtask"
+
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwpeer"
 	"github.com/hickorywick/hickorywick/lib/hwslot"
@@ -39,7 +41,7 @@
 		case <-heartbeat.C:
 		}
 		broker = r.reportOnce(ctx, p, broker)
-		pause(ctx, r.reportInterval())
+		hwtask.Pause(ctx, r.reportInterval())
 	}
 }
 
--- a/lib/hwrouter/router.go
+++ b/lib/hwrouter/router.go
@@ -245,7 +245,7 @@
 	r.logger.Emit(hwevent.RouterStopping, hwevent.With("instance", r.settings.Instance))
 	r.announceLeave(ctx)
 	// The platform's balancer needs a moment to see that the instance is not ready. Until then new requests are served as before.
-	pause(ctx, r.settings.Times.DrainGrace)
+	hwtask.Pause(ctx, r.settings.Times.DrainGrace)
 	failures := make([]error, 0, len(r.servers))
 	for _, server := range r.servers {
 		// Stopping closes the listener and waits for every request in flight.
@@ -331,15 +331,6 @@
 	return all
 }
 
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Abort ends the router at once, as a crash does: connections are cut and nobody is told.
 func (r *Router) Abort() error {
 	r.cancel()
--- a/lib/hwrouter/usage.go
+++ b/lib/hwrouter/usage.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/hickorywick/hickorywick/lib/hwtask"
+
 	"github.com/gravitational/trace"
 
 	"github.com/hickorywick/hickorywick/lib/hwevent"
@@ -117,7 +119,7 @@
 	defer cancel()
 	r.usage.observe(time.Now(), r.allPools())
 	for !r.flushUsage(ctx, r.usageInterval(), true) && ctx.Err() == nil {
-		pause(ctx, usagePause)
+		hwtask.Pause(ctx, usagePause)
 	}
 }
 
--- a/lib/hwstore/watch.go
+++ b/lib/hwstore/watch.go
@@ -117,7 +117,7 @@
 		}
 		failed(err)
 		attempt++
-		pause(ctx, settings.Backoff.After(attempt, rand.Float64()))
+		hwtask.Pause(ctx, settings.Backoff.After(attempt, rand.Float64()))
 	}
 	return nil
 }
@@ -162,12 +162,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/lib/hwtask/task.go
+++ b/lib/hwtask/task.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -30,3 +31,16 @@
 	}
 	return trace.NewAggregate(failures...)
 }
+
+// Pause waits for a span of time or for the context's end, whichever comes first.
+func Pause(ctx context.Context, span time.Duration) {
+	if span <= 0 {
+		return
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
