--- /dev/null
+++ b/lib/hwfleet/fuzz_test.go
@@ -0,0 +1,55 @@
+package hwfleet
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwforward"
+	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
+)
+
+// deaf hears nothing.
+type deaf struct{}
+
+func (deaf) Tell(time.Time) hwforward.News          { return hwforward.News{} }
+func (deaf) Hear(time.Time, string, hwforward.News) {}
+func (deaf) addr() netip.AddrPort                   { return netip.MustParseAddrPort("127.0.0.1:9") }
+
+// Whatever a datagram holds, taking it ends, and what the router then sends can be read.
+func FuzzDatagram(f *testing.F) {
+	seed, err := proto.Marshal(&hwpeerpb.Datagram{
+		Router:  "a",
+		Members: []string{"10.0.0.1:7400", "nonsense"},
+		Query:   &hwpeerpb.StateQuery{Nonce: 1},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Add([]byte{0x0a, 0x01, 'a'})
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { _ = socket.Close() })
+	f.Fuzz(func(t *testing.T, bytes []byte) {
+		datagram := &hwpeerpb.Datagram{}
+		if proto.Unmarshal(bytes, datagram) != nil || datagram.GetRouter() == "" {
+			return
+		}
+		fleet := New(Settings{Router: "self", Every: time.Second, Forget: time.Second}, socket, deaf{}, hwevent.New(io.Discard, hwevent.Error), time.Now)
+		now := time.Unix(1_700_000_000, 0)
+		fleet.take(now, deaf{}.addr(), datagram)
+		answer := datagramOf(now, newsOf(now, datagram))
+		fleet.targets(now, answer)
+		if _, err := proto.Marshal(answer); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
