--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -106,7 +106,7 @@
 		d.refuse(refuse(hwerror.KindTooLarge, "the body is larger than the limit"))
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(d.request.Body, limit+1))
+	body, err := readAll(io.LimitReader(d.request.Body, limit+1), d.request.ContentLength)
 	if err != nil {
 		d.router.logger.Emit(hwevent.CallerGone, hwevent.With("request-id", d.call.ID), hwevent.With("cause", err.Error()))
 		panic(http.ErrAbortHandler)
@@ -120,6 +120,22 @@
 	return true
 }
 
+// readAll reads to the end, into a buffer of the announced length if there is one.
+func readAll(reader io.Reader, length int64) ([]byte, error) {
+	if length <= 0 {
+		return io.ReadAll(reader)
+	}
+	buffer := make([]byte, length)
+	if _, err := io.ReadFull(reader, buffer); err != nil {
+		return nil, err
+	}
+	// The connection is watched for its end only once the end of the body was seen.
+	if _, err := reader.Read(make([]byte, 1)); err != nil && err != io.EOF {
+		return nil, err
+	}
+	return buffer, nil
+}
+
 func refuse(kind hwerror.Kind, message string) *hwerror.Refusal {
 	return hwerror.Refuse(kind, hwevent.RequestRefused.Number, message)
 }
--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -81,7 +81,7 @@
 
 // world is a router before upstreams that tests script.
 type world struct {
-	t      *testing.T
+	t      testing.TB
 	router *hwforward.Router
 	front  *httptest.Server
 	clock  *clock
@@ -144,7 +144,7 @@
 }
 
 // newWorld starts a router before upstreams with the given handlers.
-func newWorld(t *testing.T, handlers ...http.HandlerFunc) *world {
+func newWorld(t testing.TB, handlers ...http.HandlerFunc) *world {
 	t.Helper()
 	w := &world{
 		t:     t,
--- a/lib/hwfront/server.go
+++ b/lib/hwfront/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -29,6 +30,8 @@
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 	HeaderBytes   int
+	// KeptConnections is the number of callers' connections beyond which each is closed after its answer. Callers that come again on new connections would otherwise use up the descriptors while the old ones are idle. 0 is no bound.
+	KeptConnections int64
 	// DrainTime is how long a stopping server still takes connections, until the platform has seen that it is not ready.
 	DrainTime time.Duration
 	// StopTime is how long a stopping server may take as a whole.
@@ -42,6 +45,8 @@
 	logger   *hwevent.Logger
 	now      func() time.Time
 	servers  []*http.Server
+	// open counts the callers' connections.
+	open atomic.Int64
 }
 
 // New returns a server that does not listen yet.
@@ -61,7 +66,7 @@
 		address string
 		handler http.Handler
 	}{
-		{address: s.settings.Callers, handler: s.router},
+		{address: s.settings.Callers, handler: s.callers()},
 		{address: s.settings.Ready, handler: s.readiness()},
 		{address: s.settings.Metrics, handler: s.metrics()},
 	} {
@@ -78,6 +83,7 @@
 			ReadHeaderTimeout: s.settings.HeaderTimeout,
 			IdleTimeout:       s.settings.IdleTimeout,
 			MaxHeaderBytes:    s.settings.HeaderBytes,
+			ConnState:         s.counter(l.address == s.settings.Callers),
 			ErrorLog:          hwevent.StandardLogger(s.logger, hwevent.LibraryLine),
 		}
 		s.servers = append(s.servers, server)
@@ -95,6 +101,32 @@
 // listeners is the number of listeners that a server may have.
 const listeners = 3
 
+// callers serves requests and closes connections while there are too many.
+func (s *Server) callers() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if bound := s.settings.KeptConnections; bound > 0 && s.open.Load() > bound {
+			w.Header().Set("Connection", "close")
+		}
+		s.router.ServeHTTP(w, request)
+	})
+}
+
+// counter counts the connections of the callers' listener.
+func (s *Server) counter(counts bool) func(net.Conn, http.ConnState) {
+	if !counts {
+		return nil
+	}
+	return func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			s.open.Add(1)
+		case http.StateClosed, http.StateHijacked:
+			s.open.Add(-1)
+		default:
+		}
+	}
+}
+
 // readiness answers the platform's question with the status alone.
 func (s *Server) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
--- a/lib/hwfront/server_test.go
+++ b/lib/hwfront/server_test.go
@@ -1,6 +1,7 @@
 package hwfront_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -87,13 +88,14 @@
 	})
 	callers, ready, metrics := free(t), free(t), free(t)
 	server := hwfront.New(hwfront.Settings{
-		Callers:     callers,
-		Ready:       ready,
-		Metrics:     metrics,
-		ReadyPath:   "/ready",
-		MetricsPath: "/metrics",
-		DrainTime:   50 * time.Millisecond,
-		StopTime:    time.Minute,
+		Callers:         callers,
+		Ready:           ready,
+		Metrics:         metrics,
+		ReadyPath:       "/ready",
+		MetricsPath:     "/metrics",
+		KeptConnections: 2,
+		DrainTime:       50 * time.Millisecond,
+		StopTime:        time.Minute,
 	}, router, logger, time.Now)
 	running := hwtask.Start(context.Background(), server.Start)
 	require.Eventually(t, func() bool { return get(t, "http://"+ready+"/ready") == http.StatusServiceUnavailable }, 5*time.Second, 5*time.Millisecond)
@@ -107,6 +109,9 @@
 	require.Equal(t, http.StatusOK, get(t, "http://"+ready+"/ready"))
 	require.Equal(t, http.StatusOK, get(t, "http://"+metrics+"/metrics"))
 
+	assertConnectionsAreClosedBeyondTheBound(t, callers)
+	served.Store(0)
+
 	first := make(chan int, 1)
 	go func() { first <- get(t, "http://"+callers+"/slow") }()
 	<-arrived
@@ -118,3 +123,22 @@
 	require.NoError(t, hwtask.Join(stopping, running))
 	assert.Zero(t, get(t, "http://"+callers+"/late"))
 }
+
+// assertConnectionsAreClosedBeyondTheBound asks on more connections than are kept. Pattern: refused callers come again, each time on a new connection.
+func assertConnectionsAreClosedBeyondTheBound(t *testing.T, callers string) {
+	t.Helper()
+	closed := 0
+	for range 4 {
+		conn, err := net.Dial("tcp4", callers)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "GET /none HTTP/1.1\r\nHost: another.example\r\n\r\n")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		if response.Close {
+			closed++
+		}
+	}
+	assert.Equal(t, 2, closed)
+}
