What can't be repeated goes over a connection that was in use a moment ago

Cause: on the grown fleets upstreams drop idle connections without notice, and what is sent next is reset: a request that must not run twice then ends as 502. Ruled out: a new connection for each (priced, and a handshake more for each request). Change: such a request takes a kept connection only within 0.7 s of its last use. A test fails without the change.

--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -259,6 +259,7 @@
 			ResumeAfter: d.resumeAfter(),
 		}),
 		Body:     d.body,
+		MaxIdle:  d.maxIdle(),
 		ID:       d.call.ID,
 		IDHeader: r.edge.IDHeader(),
 	})
@@ -293,6 +294,17 @@
 	return d.whole(ctx, answer, facts)
 }
 
+// idleForOnce is how long a connection may have been idle for a request that must not run twice. Upstreams that drop idle connections without notice do so after seconds.
+const idleForOnce = 700 * time.Millisecond
+
+// maxIdle returns how long the attempt's connection may have been idle.
+func (d *delivery) maxIdle() time.Duration {
+	if d.repeatable() {
+		return 0
+	}
+	return idleForOnce
+}
+
 // attemptContext returns the context of an attempt. A plain request that may still be tried elsewhere does not wait all its time for an upstream that has gone silent.
 //
 // An attempt that may take all the time gets no deadline of its own: the two would end at the same moment, and the attempt's end could be seen first and taken for the upstream's failure.
--- a/lib/hwlink/link.go
+++ b/lib/hwlink/link.go
@@ -48,8 +48,8 @@
 	// ID and IDHeader let an answer be checked: one that echoes another id belongs to another request.
 	ID       string
 	IDHeader string
-	// Fresh asks for a new connection.
-	Fresh bool
+	// MaxIdle is how long a kept connection may have been idle to be used; 0 is no bound. An upstream may drop an idle connection without a word, and what is sent on it then may be lost or not: a request that can't be repeated had better pay for a new one.
+	MaxIdle time.Duration
 }
 
 // Failure says how far a failed exchange got.
@@ -97,7 +97,8 @@
 	reader *bufio.Reader
 	// until is when the connection must not be used any more.
 	until time.Time
-	kept  bool
+	// since is when the connection became idle.
+	since time.Time
 }
 
 // Links keeps the connections to all upstreams.
@@ -159,13 +160,16 @@
 	}
 }
 
-// take returns a sound idle connection, the one used last first.
-func (l *Links) take(now time.Time, address string) *conn {
+// take returns a sound idle connection, the one used last first. When that one has been idle for too long, all others have.
+func (l *Links) take(now time.Time, address string, maxIdle time.Duration) *conn {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	idle := l.idle[address]
 	for len(idle) > 0 {
 		c := idle[len(idle)-1]
+		if maxIdle > 0 && now.Sub(c.since) > maxIdle {
+			return nil
+		}
 		idle = idle[:len(idle)-1]
 		l.idle[address] = idle
 		if now.Before(c.until) && quiet(c) {
@@ -198,7 +202,7 @@
 
 func (l *Links) put(now time.Time, address string, c *conn, keep time.Duration) {
 	c.until = now.Add(keep)
-	c.kept = true
+	c.since = now
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	idle := l.idle[address]
@@ -252,10 +256,7 @@
 
 // Do sends a request and returns the head of its answer. Cancelling the context closes the connection, which ends the run at the upstream.
 func (l *Links) Do(ctx context.Context, now time.Time, r *Request) (*Answer, *Failure) {
-	var c *conn
-	if !r.Fresh {
-		c = l.take(now, r.Address)
-	}
+	c := l.take(now, r.Address, r.MaxIdle)
 	if c == nil {
 		opened, err := l.dial(ctx, r.Address)
 		if err != nil {
--- a/lib/hwlink/link_test.go
+++ b/lib/hwlink/link_test.go
@@ -295,3 +295,26 @@
 	}
 	assert.EqualValues(t, 2, l.Opened(), "a second less the margin leaves nothing")
 }
+
+// A request that can't be repeated does not trust a connection that has been idle for long: the upstream may have dropped it without notice.
+func TestAConnectionThatWasIdleForLongIsNotUsedForARequestThatAsksForAFresherOne(t *testing.T) {
+	l := links()
+	address := upstream(t, echo)
+	now := time.Now()
+	send := func(at time.Time, id string, maxIdle time.Duration) {
+		r := request(address, id)
+		r.MaxIdle = maxIdle
+		a, failure := l.Do(context.Background(), at, r)
+		require.Nil(t, failure)
+		_, err := io.ReadAll(a.Body)
+		require.NoError(t, err)
+		a.Finish(at)
+	}
+	send(now, "1", time.Second)
+	send(now.Add(500*time.Millisecond), "2", time.Second)
+	assert.EqualValues(t, 1, l.Opened())
+	send(now.Add(3*time.Second), "3", time.Second)
+	assert.EqualValues(t, 2, l.Opened())
+	send(now.Add(6*time.Second), "4", 0)
+	assert.EqualValues(t, 2, l.Opened())
+}
