A stream that has begun and can't go on is cut, never completed by a refusal

Cause: found in reading the code again: when a resumable stream broke off and no upstream was left, or the next one answered with a failure, the refusal or failure was written after the events, and the answer ended as if complete. Change: once the head is out there is only going on or cutting. A field that nothing set is gone.

--- a/lib/hwforward/forward_test.go
+++ b/lib/hwforward/forward_test.go
@@ -322,6 +322,39 @@
 	assert.Equal(t, events(1, streamEvents), w.call(http.MethodPost, "/resumable/1", "x").body)
 }
 
+// A stream that has begun and can't go on looks cut: no refusal and no upstream's failure is ever written into it.
+func TestAStreamThatCannotGoOnLooksCut(t *testing.T) {
+	var w *world
+	var first atomic.Bool
+	leaves := func(rw http.ResponseWriter, r *http.Request) {
+		w.router.SetUpstreams(w.clock.now(), nil)
+		stream(7, false)(rw, r)
+	}
+	fails := func(code int) http.HandlerFunc {
+		return func(rw http.ResponseWriter, r *http.Request) {
+			if first.CompareAndSwap(false, true) {
+				stream(7, false)(rw, r)
+				return
+			}
+			status(code)(rw, r)
+		}
+	}
+	for name, handler := range map[string]http.HandlerFunc{
+		"no upstream is left":    leaves,
+		"the next one fails":     fails(http.StatusInternalServerError),
+		"the next one refuses":   fails(http.StatusNotFound),
+		"the next one is no SSE": fails(http.StatusNoContent),
+	} {
+		t.Run(name, func(t *testing.T) {
+			first.Store(false)
+			w = newWorld(t, handler, handler)
+			got := w.call(http.MethodPost, "/resumable/1", "x")
+			assert.False(t, got.whole)
+			assert.Equal(t, events(1, 7), got.body)
+		})
+	}
+}
+
 func TestACallerMayResumeItself(t *testing.T) {
 	w := newWorld(t, stream(0, false))
 	assert.Equal(t, events(6, streamEvents), w.call(http.MethodPost, "/resumable/1", "x", "Last-Event-Id", "5").body)
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"runtime"
+	"strconv"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwadmit"
@@ -32,8 +33,6 @@
 	// unsent tells that not one byte reached the upstream.
 	unsent bool
 	cause  error
-	// retryAfter is what a refusing upstream asked for.
-	retryAfter time.Duration
 	// spare is an upstream's own failure, which is relayed when no other upstream may be tried.
 	spare *wholeAnswer
 }
@@ -55,6 +54,10 @@
 			return
 		}
 		refusal := d.choose(ctx)
+		if refusal != nil && d.headed {
+			// A stream that has begun can only go on or look cut.
+			d.cut(refusal)
+		}
 		if refusal != nil {
 			d.refuse(refusal)
 			return
@@ -128,7 +131,7 @@
 	case a.spare != nil:
 		d.relayWhole(a.spare)
 	case d.ran == 0 && (a.outcome == notRun || a.unsent):
-		refusal := refuse(hwerror.KindNoUpstream, "no upstream took the request").WithRetryAfter(max(a.retryAfter, noUpstreamRetry))
+		refusal := refuse(hwerror.KindNoUpstream, "no upstream took the request").WithRetryAfter(noUpstreamRetry)
 		refusal.Cause = a.cause
 		d.refuse(refusal)
 	default:
@@ -291,9 +294,24 @@
 	if d.route.Streaming && answer.Status == http.StatusOK && facts.Signed {
 		return d.relayStream(ctx, answer)
 	}
+	if d.headed {
+		return d.notResumed(ctx, answer)
+	}
 	return d.whole(ctx, answer, facts)
 }
 
+// notResumed ends an attempt to go on with a stream to which the upstream answered anything but a stream. Nothing of it may reach the caller, who has the first part.
+func (d *delivery) notResumed(ctx context.Context, answer *hwlink.Answer) attempt {
+	d.finish(ctx, true, false)
+	d.excluded = append(d.excluded, d.choice.Upstream.ID)
+	return attempt{
+		outcome: failed,
+		cause: &AnswerError{
+			What: "to a stream that goes on is no stream, status " + strconv.Itoa(answer.Status),
+		},
+	}
+}
+
 // idleForOnce is how long a connection may have been idle for a request that must not run twice. Upstreams that drop idle connections without notice do so after seconds.
 const idleForOnce = 700 * time.Millisecond
 
