--- a/lib/hwfront/server.go
+++ b/lib/hwfront/server.go
@@ -73,10 +73,9 @@
 		if l.address == "" {
 			continue
 		}
-		var config net.ListenConfig
-		listener, err := config.Listen(ctx, "tcp4", l.address)
+		listener, err := listen(ctx, l.address)
 		if err != nil {
-			return trace.Wrap(err)
+			return err
 		}
 		server := &http.Server{
 			Handler:           l.handler,
