--- a/lib/hwadmit/admit.go
+++ b/lib/hwadmit/admit.go
@@ -10,6 +10,10 @@
 	UnderPart float64
 	OverPart  float64
 	OverSpan  float64
+	// ReturningPart scales that wait for a returning caller of an account within its share: it would hardly come a third time.
+	ReturningPart float64
+	// LendPart is how long an account over its share by OverSpan may occupy an upstream, as a part of the objective. What is lent can't be taken back before it has been read, so the others would wait that long.
+	LendPart float64
 	// ReturnFloor is the shortest time after which a refused caller is asked back.
 	ReturnFloor time.Duration
 	// ReturnSpread is added times a draw, so that refused callers do not return together.
@@ -24,8 +28,10 @@
 	Objective time.Duration
 	// Ratio is the account's use as a part of its fair rate.
 	Ratio float64
-	// Idle tells that the chosen upstream has room and nothing waits there.
-	Idle bool
+	// Reading is how long the request would occupy the upstream before its first token.
+	Reading time.Duration
+	// Returning tells that the caller was probably refused before.
+	Returning bool
 	// Draw lies in [0, 1).
 	Draw float64
 }
@@ -39,19 +45,26 @@
 	RetryAfter time.Duration
 }
 
-// Decide takes or refuses a request. Its own size does not count, so that large requests are not refused more often than small ones.
+// Decide takes or refuses a request. Within the account's share its own size does not count, so that large requests are not refused more often than small ones.
 func (s Settings) Decide(r Request) Verdict {
 	part := s.WaitPart
+	// over tells how far the account is over its share, up to 1.
+	over := 0.0
 	switch {
 	case r.Ratio <= 0:
 		// Everybody gets what they ask for.
 	case r.Ratio < 1:
 		part *= s.UnderPart + (1-s.UnderPart)*r.Ratio
 	default:
-		part *= 1 - (1-s.OverPart)*min(1, (r.Ratio-1)/s.OverSpan)
+		over = min(1, (r.Ratio-1)/s.OverSpan)
+		part *= 1 - (1-s.OverPart)*over
+	}
+	if r.Returning && over == 0 {
+		part *= s.ReturningPart
 	}
 	limit := time.Duration(part * float64(r.Objective))
-	if r.Wait <= limit {
+	lent := over * float64(r.Reading)
+	if r.Wait <= limit && lent <= s.LendPart*float64(r.Objective) {
 		return Verdict{
 			Admitted: true,
 			Limit:    limit,
--- a/lib/hwadmit/admit_test.go
+++ b/lib/hwadmit/admit_test.go
@@ -15,12 +15,14 @@
 var start = time.Unix(1_700_000_000, 0)
 
 var settings = hwadmit.Settings{
-	WaitPart:     0.35,
-	UnderPart:    1,
-	OverPart:     0.05,
-	OverSpan:     1,
-	ReturnFloor:  100 * time.Millisecond,
-	ReturnSpread: 400 * time.Millisecond,
+	WaitPart:      0.35,
+	UnderPart:     1,
+	OverPart:      0.05,
+	OverSpan:      1,
+	ReturningPart: 2,
+	LendPart:      0.35,
+	ReturnFloor:   100 * time.Millisecond,
+	ReturnSpread:  400 * time.Millisecond,
 }
 
 func ExampleLevel() {
@@ -143,3 +145,58 @@
 	assert.False(t, shares.Behind(start.Add(time.Second), "small", 1e9), "nobody is behind while everybody gets what they ask for")
 	assert.Equal(t, 350*time.Millisecond, settings.Limit(time.Second))
 }
+
+// Pattern: a flooding account's long prompts find an idle engine. While one is read, the others' requests would wait longer than anybody is let wait.
+func TestIdleCapacityIsLentForNoLongerThanOthersWait(t *testing.T) {
+	request := hwadmit.Request{
+		Objective: time.Second,
+		Reading:   400 * time.Millisecond,
+	}
+	assert.True(t, settings.Decide(request).Admitted)
+	request.Ratio = 0.9
+	assert.True(t, settings.Decide(request).Admitted, "within the share the size does not count")
+	request.Ratio = 1.5
+	assert.True(t, settings.Decide(request).Admitted, "a little over the share it counts in part")
+	request.Ratio = 3
+	assert.False(t, settings.Decide(request).Admitted)
+	request.Reading = 300 * time.Millisecond
+	assert.True(t, settings.Decide(request).Admitted)
+}
+
+// Pattern: callers come again once. One that is refused twice has waited for nothing.
+func TestReturningCallersWithinTheirShareAreTakenWithALongerWait(t *testing.T) {
+	request := hwadmit.Request{
+		Wait:      600 * time.Millisecond,
+		Objective: time.Second,
+		Ratio:     0.5,
+	}
+	assert.False(t, settings.Decide(request).Admitted)
+	request.Returning = true
+	assert.True(t, settings.Decide(request).Admitted)
+	request.Ratio = 1.5
+	assert.False(t, settings.Decide(request).Admitted, "coming again gives no claim beyond the share")
+}
+
+func ExamplePatience() {
+	patience := hwadmit.NewPatience()
+	fmt.Println(patience.Returning(start, "reports", 12*time.Second))
+	fmt.Println(patience.Returning(start.Add(time.Second), "reports", 12*time.Second-time.Millisecond))
+	fmt.Println(patience.Returning(start.Add(time.Second), "reports", 11600*time.Millisecond))
+	fmt.Println(patience.Returning(start.Add(time.Second), "queries", 11600*time.Millisecond))
+	// Output:
+	// false
+	// false
+	// true
+	// false
+}
+
+// Callers whose first time has become shorter are not taken for returning ones for ever.
+func TestTheLongestPatienceIsForgotten(t *testing.T) {
+	patience := hwadmit.NewPatience()
+	assert.False(t, patience.Returning(start, "reports", 12*time.Second))
+	assert.True(t, patience.Returning(start.Add(time.Second), "reports", 6*time.Second))
+	assert.False(t, patience.Returning(start.Add(time.Minute), "reports", 6*time.Second))
+	assert.False(t, patience.Returning(start.Add(time.Minute), "reports", 0))
+	patience.Retain(func(string) bool { return false })
+	assert.False(t, patience.Returning(start.Add(time.Minute), "reports", time.Second))
+}
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -76,12 +76,13 @@
 	stopped  atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 
-	lock    sync.Mutex
-	random  *rand.Rand
-	pools   map[string]*hwplace.Pool
-	budgets map[string]*hwretry.Budget
-	shares  *hwadmit.Shares
-	guard   *hwquarantine.Guard
+	lock     sync.Mutex
+	random   *rand.Rand
+	pools    map[string]*hwplace.Pool
+	budgets  map[string]*hwretry.Budget
+	shares   *hwadmit.Shares
+	patience *hwadmit.Patience
+	guard    *hwquarantine.Guard
 	// upstreams are all that the list names, by pool.
 	upstreams map[string][]hwplace.Upstream
 	// suspects are requests that were at an upstream when its connection broke.
@@ -102,6 +103,7 @@
 		pools:     map[string]*hwplace.Pool{},
 		budgets:   map[string]*hwretry.Budget{},
 		shares:    hwadmit.NewShares(settings.ShareWindow),
+		patience:  hwadmit.NewPatience(),
 		guard:     hwquarantine.New(settings.Quarantine),
 		upstreams: map[string][]hwplace.Upstream{},
 		metrics:   newMetrics(),
@@ -116,6 +118,7 @@
 		return false
 	}
 	r.table.Store(table)
+	r.patience.Retain(table.Named)
 	for name, p := range r.pools {
 		// What was learned about a plain service says nothing about an engine.
 		if described, known := table.Pool(name); known && p.Engine() != (described.Engine != nil) {
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -222,6 +222,8 @@
 		Wait:      d.wait,
 		Objective: d.route.Objective,
 		Ratio:     d.ratio,
+		Reading:   d.choice.Reading,
+		Returning: r.patience.Returning(now, d.route.Name, d.call.Patience),
 		Draw:      r.random.Float64(),
 	})
 	if !verdict.Admitted {
--- a/lib/hwplace/place_test.go
+++ b/lib/hwplace/place_test.go
@@ -243,3 +243,19 @@
 	assert.Empty(t, p.Loads())
 	assert.Zero(t, choose(t, p, start, report(2, 2)).Wait)
 }
+
+// Pattern: upstreams are replaced one after the other. What one that leaves has read is fetched from it in place of being read again.
+func TestPartsAreFetchedFromALeavingUpstream(t *testing.T) {
+	p := engines(3)
+	holder := serve(t, p, start, report(1, 1)).Upstream
+	list := upstreams("engine", 3)
+	for i := range list {
+		list[i].Leaving = list[i].ID == holder.ID
+	}
+	p.Update(list)
+	choice := choose(t, p, start, report(1, 2))
+	assert.NotEqual(t, holder.ID, choice.Upstream.ID)
+	assert.Equal(t, holder.Address, choice.FetchFrom)
+	assert.Equal(t, 4_000, choice.Read)
+	assert.Equal(t, time.Duration(4_000+0.35*13_000)*time.Millisecond/50, choice.Reading)
+}
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -86,8 +86,9 @@
 	Upstream Upstream
 	// Wait is the estimated time behind other work, without the request's own reading.
 	Wait time.Duration
-	// Read is the number of prompt tokens that the upstream has to read.
-	Read int
+	// Read is the number of prompt tokens that the upstream has to read, Reading how long that takes it.
+	Read    int
+	Reading time.Duration
 	// FetchFrom is the address of an upstream whose cache holds more of the prompt, or empty.
 	FetchFrom string
 	// Idle tells that fewer than half of the upstream's slots are taken and nothing waits.
@@ -337,6 +338,7 @@
 		choice.Read -= fetched
 		readMS -= float64(fetched) * (1 - p.settings.FetchPart)
 	}
+	choice.Reading = milliseconds(slow * readMS / p.rate.tokensPerMS)
 	tokens := m.tokens + other.Tokens
 	wait := slow * tokens / p.rate.tokensPerMS
 	// A request that finds no slot waits until one of the running ends.
@@ -377,7 +379,7 @@
 	return home
 }
 
-// holder returns the sound upstream that holds most of a prompt, and how many tokens.
+// holder returns the sound upstream that holds most of a prompt, and how many tokens. One that leaves gets no requests but still hands out what it holds.
 func (p *Pool) holder(now time.Time, ask Ask) (*member, int) {
 	if !p.engine || p.settings.FetchTokens <= 0 {
 		return nil, 0
@@ -385,7 +387,7 @@
 	var best *member
 	most := 0
 	for id, m := range p.members {
-		if m.upstream.Leaving || m.trouble(now) >= 1 || m.silence(now) > 0 {
+		if m.trouble(now) >= 1 || m.silence(now) > 0 {
 			continue
 		}
 		if held := p.index.Cached(id, ask.Prompt); held > most {
--- a/lib/hwtable/table.go
+++ b/lib/hwtable/table.go
@@ -94,6 +94,8 @@
 	hosts   map[string][]Route
 	pools   map[string]Pool
 	keys    map[string]Account
+	// names are those of all routes.
+	names map[string]bool
 	// guarded tells that routes which are not public ask for a key.
 	guarded bool
 }
@@ -106,10 +108,12 @@
 		hosts:   map[string][]Route{},
 		pools:   map[string]Pool{},
 		keys:    map[string]Account{},
+		names:   map[string]bool{},
 		guarded: len(c.Accounts) > 0,
 	}
 	for _, r := range c.Routes {
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+		t.names[r.Name] = true
 	}
 	// The longest prefix comes first, so that the first match is the right one.
 	for _, routes := range t.hosts {
@@ -151,6 +155,9 @@
 	return Route{}, false
 }
 
+// Named reports whether a route of that name exists.
+func (t *Table) Named(route string) bool { return t.names[route] }
+
 // Guarded reports whether a route asks for a key.
 func (t *Table) Guarded(r Route) bool { return t.guarded && !r.Public }
 
