--- a/Makefile
+++ b/Makefile
@@ -47,4 +47,4 @@
 
 generate: ## Generated code, committed; needs protoc, protoc-gen-go v1.36.12 and protoc-gen-go-drpc v1.1.0.
 	cd lib && protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative hwpeerpb/peer.proto
-	cd lib && protoc --go_out=. --go_opt=paths=source_relative hwpeerpb/page.proto
+	cd lib && protoc --go_out=. --go_opt=paths=source_relative hwpeerpb/page.proto hwpeerpb/fleet.proto
--- a/lib/hwfleet/ask.go
+++ b/lib/hwfleet/ask.go
@@ -19,21 +19,21 @@
 )
 
 const (
-	// readers is how many routers read the store for the others: one may be lost without the others having to.
-	readers = 2
+	// asked is how many routers are asked in place of the store, in turn. The first reads the store. The second asks the first like the others do, so it knows nearly as much when the first is lost, and reads at once when it notices.
+	asked = 2
 	// readerSilence is how long a router may be silent and still be asked.
 	readerSilence = 1200 * time.Millisecond
 	// answerTimeout is how long an answer may take before the next reader is asked; a router answers from memory.
 	answerTimeout = 120 * time.Millisecond
 )
 
-// NoReaderError says that no reader answered.
+// NoReaderError says that no router answered with something new enough.
 type NoReaderError struct {
 	Asked int
 }
 
 // Error says what happened.
-func (e *NoReaderError) Error() string { return "no reader of the fleet answered" }
+func (e *NoReaderError) Error() string { return "no router of the fleet answered with something new enough" }
 
 // SetState sets what the fleet answers to routers that ask.
 func (f *Fleet) SetState(state func() (hwfollow.State, bool)) {
@@ -42,7 +42,7 @@
 	f.state = state
 }
 
-// ranked returns the routers that are to read, itself among them, by the hash of their addresses: all routers with the same view agree without asking.
+// ranked returns the routers that are asked, itself among them, by the hash of their addresses: all routers with the same view agree without asking.
 func (f *Fleet) ranked(now time.Time) []netip.AddrPort {
 	f.lock.Lock()
 	defer f.lock.Unlock()
@@ -54,17 +54,20 @@
 	}
 	rank := func(a netip.AddrPort) uint64 { return xxhash.Sum64String(a.String()) }
 	slices.SortFunc(routers, func(a, b netip.AddrPort) int { return cmp.Compare(rank(a), rank(b)) })
-	return routers[:min(readers, len(routers))]
+	return routers[:min(asked, len(routers))]
 }
 
 // Reader reports whether this router reads the store for the others.
-func (f *Fleet) Reader(now time.Time) bool { return slices.Contains(f.ranked(now), f.settings.Self) }
+func (f *Fleet) Reader(now time.Time) bool { return f.ranked(now)[0] == f.settings.Self }
 
-// Ask asks the readers in turn.
+// Ask asks in turn until an answer is new enough.
 func (f *Fleet) Ask(ctx context.Context, want hwfollow.Want) (hwfollow.State, error) {
 	targets := f.ranked(f.now())
 	for _, target := range targets {
-		if state, answered := f.askOne(ctx, target, want); answered {
+		if target == f.settings.Self {
+			continue
+		}
+		if state, answered := f.askOne(ctx, target, want); answered && want.Fresh(state) {
 			return state, nil
 		}
 	}
--- /dev/null
+++ b/lib/hwfleet/datagram.go
@@ -0,0 +1,117 @@
+package hwfleet
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwadmit"
+	"github.com/hickorywick/hickorywick/lib/hwforward"
+	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+	"github.com/hickorywick/hickorywick/lib/hwprompt"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
+)
+
+// numberOf and memberOf translate between an address and its number in a datagram.
+func numberOf(address netip.AddrPort) uint64 {
+	ip := address.Addr().As4()
+	return uint64(binary.BigEndian.Uint32(ip[:]))<<16 | uint64(address.Port())
+}
+
+func memberOf(number uint64) netip.AddrPort {
+	var ip [4]byte
+	binary.BigEndian.PutUint32(ip[:], uint32(number>>16))
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), uint16(number))
+}
+
+// datagramOf writes news as a datagram that does not name its sender yet.
+func datagramOf(now time.Time, news hwforward.News) *hwpeerpb.Datagram {
+	datagram := &hwpeerpb.Datagram{}
+	pools := map[string]*hwpeerpb.PoolNews{}
+	pool := func(name string) *hwpeerpb.PoolNews {
+		if pools[name] == nil {
+			pools[name] = &hwpeerpb.PoolNews{
+				Pool: name,
+			}
+			datagram.Pools = append(datagram.Pools, pools[name])
+		}
+		return pools[name]
+	}
+	for name, loads := range news.Loads {
+		columns := pool(name)
+		for _, l := range loads {
+			columns.Upstreams = append(columns.Upstreams, uint32(l.Upstream))
+			columns.Tokens = append(columns.Tokens, uint32(l.Tokens))
+			columns.Running = append(columns.Running, uint32(l.Running))
+		}
+	}
+	for _, r := range news.Readings {
+		columns := pool(r.Pool)
+		columns.Readers = append(columns.Readers, uint32(r.Upstream))
+		columns.Chains = append(columns.Chains, r.Link.Chain)
+		columns.Lengths = append(columns.Lengths, uint32(r.Link.Tokens))
+	}
+	for account, use := range news.Use {
+		datagram.Uses = append(datagram.Uses, &hwpeerpb.AccountUse{
+			Account: account,
+			Asked:   uint32(use.Asked),
+			Given:   uint32(use.Given),
+		})
+	}
+	for _, s := range news.Strikes {
+		datagram.Strikes = append(datagram.Strikes, &hwpeerpb.CrashStrike{
+			Fingerprint: uint64(s.Fingerprint),
+			Upstream:    s.Upstream,
+			AgeMs:       uint32(max(0, now.Sub(s.At).Milliseconds())),
+			Cleared:     s.Cleared,
+		})
+	}
+	return datagram
+}
+
+// newsOf reads a datagram's news. Columns of unequal length come from a stranger; what has no partner is left out.
+func newsOf(now time.Time, datagram *hwpeerpb.Datagram) hwforward.News {
+	news := hwforward.News{
+		Loads: map[string][]hwplace.PeerLoad{},
+	}
+	for _, pool := range datagram.GetPools() {
+		name, upstreams, tokens, running := pool.GetPool(), pool.GetUpstreams(), pool.GetTokens(), pool.GetRunning()
+		for i := range min(len(upstreams), len(tokens), len(running)) {
+			news.Loads[name] = append(news.Loads[name], hwplace.PeerLoad{
+				Upstream: hwplace.Key(upstreams[i]),
+				Tokens:   float64(tokens[i]),
+				Running:  int(running[i]),
+			})
+		}
+		readers, chains, lengths := pool.GetReaders(), pool.GetChains(), pool.GetLengths()
+		for i := range min(len(readers), len(chains), len(lengths)) {
+			news.Readings = append(news.Readings, hwforward.Reading{
+				Pool:     name,
+				Upstream: hwplace.Key(readers[i]),
+				Link: hwprompt.Link{
+					Chain:  chains[i],
+					Tokens: int(lengths[i]),
+				},
+			})
+		}
+	}
+	if uses := datagram.GetUses(); len(uses) > 0 {
+		news.Use = make(map[string]hwadmit.Use, len(uses))
+		for _, use := range uses {
+			news.Use[use.GetAccount()] = hwadmit.Use{
+				Asked: float64(use.GetAsked()),
+				Given: float64(use.GetGiven()),
+			}
+		}
+	}
+	for _, s := range datagram.GetStrikes() {
+		news.Strikes = append(news.Strikes, hwquarantine.Strike{
+			Fingerprint: hwquarantine.Fingerprint(s.GetFingerprint()),
+			Upstream:    s.GetUpstream(),
+			At:          now.Add(-time.Duration(s.GetAgeMs()) * time.Millisecond),
+			Cleared:     s.GetCleared(),
+		})
+	}
+	return news
+}
--- a/lib/hwfleet/fleet.go
+++ b/lib/hwfleet/fleet.go
@@ -14,14 +14,10 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/hickorywick/hickorywick/lib/hwadmit"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwfollow"
 	"github.com/hickorywick/hickorywick/lib/hwforward"
 	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
-	"github.com/hickorywick/hickorywick/lib/hwplace"
-	"github.com/hickorywick/hickorywick/lib/hwprompt"
-	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 	"github.com/hickorywick/hickorywick/lib/hwtask"
 )
 
@@ -176,7 +172,7 @@
 		p.sequence = datagram.GetSequence()
 	}
 	for _, member := range datagram.GetMembers() {
-		if address, err := netip.ParseAddrPort(member); err == nil && address != f.settings.Self {
+		if address := memberOf(member); address.Port() != 0 && address != f.settings.Self {
 			if f.peers[address] == nil {
 				f.peers[address] = &peer{}
 			}
@@ -215,11 +211,12 @@
 	}
 }
 
-// targets returns where a datagram goes and completes it with the members. Seeds that were never heard of are tried now and then.
+// targets returns where a datagram goes and completes it, now and then with the members. Seeds that were never heard of are tried as often.
 func (f *Fleet) targets(now time.Time, datagram *hwpeerpb.Datagram) []netip.AddrPort {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	f.sequence++
+	full := f.sequence%membersEvery == 1
 	datagram.Router = f.settings.Router
 	datagram.Boot = f.settings.Boot
 	datagram.Sequence = f.sequence
@@ -228,7 +225,9 @@
 		heard := now.Sub(p.heard) < f.settings.Forget
 		switch {
 		case heard:
-			datagram.Members = append(datagram.Members, address.String())
+			if full {
+				datagram.Members = append(datagram.Members, numberOf(address))
+			}
 			targets = append(targets, address)
 		case p.name != "" && now.Sub(p.named) >= f.settings.Forget:
 			f.logger.Emit(hwevent.MemberLeft, hwevent.With("instance", p.name), hwevent.With("silent-ms", now.Sub(p.heard).Milliseconds()))
@@ -239,7 +238,7 @@
 			delete(f.peers, address)
 		}
 	}
-	if f.sequence%seedEvery != 1 {
+	if !full {
 		return targets
 	}
 	for _, seed := range f.seeds {
@@ -250,90 +249,8 @@
 	return targets
 }
 
-// seedEvery is how many datagrams pass between two to a seed that says nothing.
-const seedEvery = 5
-
-func datagramOf(now time.Time, news hwforward.News) *hwpeerpb.Datagram {
-	datagram := &hwpeerpb.Datagram{}
-	for pool, loads := range news.Loads {
-		message := &hwpeerpb.PoolLoad{
-			Pool: pool,
-		}
-		for _, l := range loads {
-			message.Upstreams = append(message.Upstreams, &hwpeerpb.UpstreamLoad{
-				Upstream: l.Upstream,
-				Tokens:   uint32(l.Tokens),
-				Running:  uint32(l.Running),
-			})
-		}
-		datagram.Pools = append(datagram.Pools, message)
-	}
-	for account, use := range news.Use {
-		datagram.Uses = append(datagram.Uses, &hwpeerpb.AccountUse{
-			Account: account,
-			Asked:   uint32(use.Asked),
-			Given:   uint32(use.Given),
-		})
-	}
-	for _, r := range news.Readings {
-		datagram.Readings = append(datagram.Readings, &hwpeerpb.PartReading{
-			Pool:     r.Pool,
-			Upstream: r.Upstream,
-			Chain:    r.Link.Chain,
-			Tokens:   uint32(r.Link.Tokens),
-		})
-	}
-	for _, s := range news.Strikes {
-		datagram.Strikes = append(datagram.Strikes, &hwpeerpb.CrashStrike{
-			Fingerprint: uint64(s.Fingerprint),
-			Upstream:    s.Upstream,
-			AgeMs:       uint32(max(0, now.Sub(s.At).Milliseconds())),
-			Cleared:     s.Cleared,
-		})
-	}
-	return datagram
-}
-
-func newsOf(now time.Time, datagram *hwpeerpb.Datagram) hwforward.News {
-	news := hwforward.News{
-		Loads: map[string][]hwplace.PeerLoad{},
-		Use:   map[string]hwadmit.Use{},
-	}
-	for _, pool := range datagram.GetPools() {
-		for _, l := range pool.GetUpstreams() {
-			news.Loads[pool.GetPool()] = append(news.Loads[pool.GetPool()], hwplace.PeerLoad{
-				Upstream: l.GetUpstream(),
-				Tokens:   float64(l.GetTokens()),
-				Running:  int(l.GetRunning()),
-			})
-		}
-	}
-	for _, use := range datagram.GetUses() {
-		news.Use[use.GetAccount()] = hwadmit.Use{
-			Asked: float64(use.GetAsked()),
-			Given: float64(use.GetGiven()),
-		}
-	}
-	for _, r := range datagram.GetReadings() {
-		news.Readings = append(news.Readings, hwforward.Reading{
-			Pool:     r.GetPool(),
-			Upstream: r.GetUpstream(),
-			Link: hwprompt.Link{
-				Chain:  r.GetChain(),
-				Tokens: int(r.GetTokens()),
-			},
-		})
-	}
-	for _, s := range datagram.GetStrikes() {
-		news.Strikes = append(news.Strikes, hwquarantine.Strike{
-			Fingerprint: hwquarantine.Fingerprint(s.GetFingerprint()),
-			Upstream:    s.GetUpstream(),
-			At:          now.Add(-time.Duration(s.GetAgeMs()) * time.Millisecond),
-			Cleared:     s.GetCleared(),
-		})
-	}
-	return news
-}
+// membersEvery is how many datagrams pass between two that name the members and that also go to a seed that says nothing.
+const membersEvery = 5
 
 // Listen opens the socket for datagrams.
 func Listen(ctx context.Context, address string) (net.PacketConn, error) {
--- a/lib/hwfleet/fleet_test.go
+++ b/lib/hwfleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,9 +76,9 @@
 // Routers find each other through one seed and then through each other, and everything told arrives as it was.
 func TestNewsReachEveryRouter(t *testing.T) {
 	news := hwforward.News{
-		Loads:    map[string][]hwplace.PeerLoad{"pool": {{Upstream: "u", Tokens: 1234, Running: 5}}},
+		Loads:    map[string][]hwplace.PeerLoad{"pool": {{Upstream: hwplace.KeyOf("u"), Tokens: 1234, Running: 5}}},
 		Use:      map[string]hwadmit.Use{"account": {Asked: 100, Given: 50}},
-		Readings: []hwforward.Reading{{Pool: "pool", Upstream: "u", Link: hwprompt.Link{Chain: 1 << 60, Tokens: 77}}},
+		Readings: []hwforward.Reading{{Pool: "pool", Upstream: hwplace.KeyOf("u"), Link: hwprompt.Link{Chain: 1 << 60, Tokens: 77}}},
 		Strikes:  []hwquarantine.Strike{{Fingerprint: 1 << 61, Upstream: "u", At: time.Now(), Cleared: true}},
 	}
 	first, heardByFirst, seed := join(t, "first", news)
@@ -125,42 +126,82 @@
 	assert.Len(t, heard.heard, 1)
 }
 
-// Two of the routers read the store; any other one gets the state from them, with its list only if it differs, and keeps it when a reader ends.
-func TestReadersAnswerForTheStore(t *testing.T) {
+// One of the routers reads the store; any other one gets the state from it, with its list only if it differs.
+func TestAReaderAnswersForTheStore(t *testing.T) {
 	list := []hwplace.Upstream{{ID: "u", Address: "10.0.0.1:80", Zone: "z", Pool: "p", Slots: 4, Started: 9, Leaving: true, Version: 3}}
 	state := hwfollow.State{Revision: 12, TableAge: 250 * time.Millisecond, ListAge: 1500 * time.Microsecond, Digest: 77, List: list}
+	fleets := four(t, func(int) hwfollow.State { return state })
+	for _, fleet := range fleets {
+		if fleet.Reader(time.Now()) {
+			continue
+		}
+		got, err := fleet.Ask(context.Background(), hwfollow.Want{List: true, Oldest: time.Second})
+		require.NoError(t, err)
+		assert.Equal(t, list, got.List)
+		assert.EqualValues(t, 12, got.Revision)
+		assert.Equal(t, 250*time.Millisecond, got.TableAge)
+		assert.Equal(t, 2*time.Millisecond, got.ListAge, "ages are rounded up")
+		got, err = fleet.Ask(context.Background(), hwfollow.Want{List: true, Digest: 77, Oldest: time.Second})
+		require.NoError(t, err)
+		assert.Nil(t, got.List)
+	}
+}
+
+// four joins four routers and waits until they agree on one reader.
+func four(t *testing.T, state func(router int) hwfollow.State) []*hwfleet.Fleet {
+	t.Helper()
 	var fleets []*hwfleet.Fleet
 	var seeds []netip.AddrPort
-	for _, name := range []string{"first", "second", "third", "fourth"} {
+	for i, name := range []string{"first", "second", "third", "fourth"} {
 		fleet, _, address := join(t, name, hwforward.News{}, seeds...)
-		fleet.SetState(func() (hwfollow.State, bool) { return state, true })
+		fleet.SetState(func() (hwfollow.State, bool) { return state(i), true })
 		fleets = append(fleets, fleet)
 		seeds = append(seeds, address)
 	}
-	count := func() int {
-		readers := 0
+	require.Eventually(t, func() bool {
+		readers, complete := 0, true
 		for _, fleet := range fleets {
 			if fleet.Reader(time.Now()) {
 				readers++
 			}
+			complete = complete && fleet.Peers(time.Now()) == len(fleets)-1
 		}
-		return readers
-	}
-	require.Eventually(t, func() bool { return count() == 2 && fleets[0].Peers(time.Now()) == 3 }, 5*time.Second, 5*time.Millisecond)
-	for _, fleet := range fleets {
+		return readers == 1 && complete
+	}, 5*time.Second, 5*time.Millisecond)
+	return fleets
+}
+
+// Pattern: the reader alone is cut off from the store, so what it knows is old. The others get the state from the router that stands in for it, not each from the store.
+func TestAReaderThatIsCutOffIsStoodInFor(t *testing.T) {
+	var reader atomic.Int64
+	reader.Store(-1)
+	fleets := four(t, func(router int) hwfollow.State {
+		age := 10 * time.Millisecond
+		if int64(router) == reader.Load() {
+			age = time.Minute
+		}
+		return hwfollow.State{Revision: int64(router), TableAge: age, ListAge: age}
+	})
+	for i, fleet := range fleets {
 		if fleet.Reader(time.Now()) {
+			reader.Store(int64(i))
+		}
+	}
+	answers, alone := map[int64]int{}, 0
+	for i, fleet := range fleets {
+		if int64(i) == reader.Load() {
 			continue
 		}
-		got, err := fleet.Ask(context.Background(), hwfollow.Want{List: true})
-		require.NoError(t, err)
-		assert.Equal(t, list, got.List)
-		assert.EqualValues(t, 12, got.Revision)
-		assert.Equal(t, 250*time.Millisecond, got.TableAge)
-		assert.Equal(t, 2*time.Millisecond, got.ListAge, "ages are rounded up")
-		got, err = fleet.Ask(context.Background(), hwfollow.Want{List: true, Digest: 77})
-		require.NoError(t, err)
-		assert.Nil(t, got.List)
+		got, err := fleet.Ask(context.Background(), hwfollow.Want{Oldest: time.Second})
+		if err != nil {
+			alone++
+			continue
+		}
+		answers[got.Revision]++
 	}
+	assert.Equal(t, 1, alone, "the one that stands in has nobody to ask")
+	assert.Len(t, answers, 1)
+	assert.NotContains(t, answers, reader.Load())
 }
 
 func TestAskingWithoutReadersFails(t *testing.T) {
--- a/lib/hwfleet/fuzz_test.go
+++ b/lib/hwfleet/fuzz_test.go
@@ -25,7 +25,7 @@
 func FuzzDatagram(f *testing.F) {
 	seed, err := proto.Marshal(&hwpeerpb.Datagram{
 		Router:  "a",
-		Members: []string{"10.0.0.1:7400", "nonsense"},
+		Members: []uint64{10<<40 | 1<<16 | 7400, 0, 1<<64 - 1},
 		Query:   &hwpeerpb.StateQuery{Nonce: 1},
 	})
 	if err != nil {
--- a/lib/hwfollow/shared.go
+++ b/lib/hwfollow/shared.go
@@ -12,9 +12,9 @@
 
 // Asker asks other routers for what they know of the store.
 type Asker interface {
-	// Reader reports whether this router is one of those that read the store for the others.
+	// Reader reports whether this router reads the store for the others.
 	Reader(now time.Time) bool
-	// Ask returns the state of a reader. Its list is there only if it is wanted.
+	// Ask returns a state that is new enough. Its list is there only if it is wanted.
 	Ask(ctx context.Context, want Want) (State, error)
 }
 
@@ -23,9 +23,19 @@
 	// List asks for the list, unless its digest is the given one.
 	List   bool
 	Digest uint64
+	// Oldest is how old the list may be, or the table if the list is not wanted.
+	Oldest time.Duration
 }
 
-// Shared is a source that reads the store through a few routers of the fleet, so that the store's load does not grow with the fleet. A router that gets no answer new enough reads for itself.
+// Fresh reports whether a state is new enough.
+func (w Want) Fresh(state State) bool {
+	if w.List {
+		return state.ListAge < w.Oldest
+	}
+	return state.TableAge < w.Oldest
+}
+
+// Shared is a source that reads the store through one router of the fleet, so that the store's load does not grow with the fleet. A router that gets no answer new enough reads for itself.
 type Shared struct {
 	own    Source
 	asker  Asker
@@ -49,8 +59,10 @@
 // Table returns a reader's confirmation of the known revision, or else the store's table.
 func (s *Shared) Table(ctx context.Context, known int64) (TableAnswer, error) {
 	if known > 0 && !s.asker.Reader(s.now()) {
-		state, err := s.asker.Ask(ctx, Want{})
-		if err == nil && state.TableAge < s.oldest && state.Revision == known {
+		state, err := s.asker.Ask(ctx, Want{
+			Oldest: s.oldest,
+		})
+		if err == nil && state.Revision == known {
 			return TableAnswer{
 				Revision: known,
 				Age:      state.TableAge,
@@ -66,8 +78,9 @@
 		state, err := s.asker.Ask(ctx, Want{
 			List:   true,
 			Digest: s.digest,
+			Oldest: s.oldest,
 		})
-		if err == nil && state.ListAge < s.oldest {
+		if err == nil {
 			if state.Digest != s.digest {
 				s.list = state.List
 				s.digest = state.Digest
--- a/lib/hwfollow/shared_test.go
+++ b/lib/hwfollow/shared_test.go
@@ -25,6 +25,9 @@
 	if !want.List || want.Digest == state.Digest {
 		state.List = nil
 	}
+	if a.err == nil && !want.Fresh(a.state) {
+		return hwfollow.State{}, lostError{}
+	}
 	return state, a.err
 }
 
--- a/lib/hwforward/news.go
+++ b/lib/hwforward/news.go
@@ -12,13 +12,14 @@
 // Reading says that an upstream reads a part of a prompt, and so holds it afterwards.
 type Reading struct {
 	Pool     string
-	Upstream string
+	Upstream hwplace.Key
 	Link     hwprompt.Link
 }
 
 // News is what a router tells its peers: its present work and its accounts' use as a whole, readings and strikes since it last told them.
 type News struct {
-	Loads    map[string][]hwplace.PeerLoad
+	Loads map[string][]hwplace.PeerLoad
+	// Use is nil when it is not told this time.
 	Use      map[string]hwadmit.Use
 	Readings []Reading
 	Strikes  []hwquarantine.Strike
@@ -30,13 +31,19 @@
 	newsStrikes  = 20
 )
 
+// useEvery is the time between two tellings of the accounts' use, which is averaged over seconds.
+const useEvery = 300 * time.Millisecond
+
 // Tell returns the news for the peers and counts them as told. Readings beyond the bound wait for the next time.
 func (r *Router) Tell(now time.Time) News {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	told := News{
 		Loads: make(map[string][]hwplace.PeerLoad, len(r.pools)),
-		Use:   r.shares.Own(now),
+	}
+	if now.Sub(r.toldUse) >= useEvery {
+		r.toldUse = now
+		told.Use = r.shares.Own(now)
 	}
 	for name, p := range r.pools {
 		if loads := p.Loads(); len(loads) > 0 {
@@ -60,7 +67,9 @@
 func (r *Router) Hear(now time.Time, peer string, news News) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.shares.SetPeer(now, peer, news.Use)
+	if news.Use != nil {
+		r.shares.SetPeer(now, peer, news.Use)
+	}
 	for name, p := range r.pools {
 		p.SetPeer(now, peer, news.Loads[name])
 	}
--- a/lib/hwforward/refusal_bench_test.go
+++ b/lib/hwforward/refusal_bench_test.go
@@ -30,7 +30,7 @@
 	for i := range 140 {
 		id := "u" + strconv.Itoa(i)
 		list = append(list, hwplace.Upstream{ID: id, Address: "127.0.0.1:9", Pool: "ledger", Slots: 32})
-		loads = append(loads, hwplace.PeerLoad{Upstream: id, Tokens: 100_000, Running: 1})
+		loads = append(loads, hwplace.PeerLoad{Upstream: hwplace.KeyOf(id), Tokens: 100_000, Running: 1})
 	}
 	w.router.SetUpstreams(w.clock.now(), list)
 	address := w.front.Listener.Addr().String()
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -87,8 +87,9 @@
 	upstreams map[string][]hwplace.Upstream
 	// suspects are requests that were at an upstream when its connection broke.
 	suspects []suspect
-	// news are what peers should hear and have not been told yet.
-	news News
+	// news are what peers should hear and have not been told yet; toldUse is when they last heard of the accounts' use.
+	news    News
+	toldUse time.Time
 }
 
 // New returns a router without a table or upstreams.
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -201,7 +201,7 @@
 		for _, link := range d.prompt.Links() {
 			r.news.Readings = append(r.news.Readings, Reading{
 				Pool:     d.pool,
-				Upstream: d.choice.Upstream.ID,
+				Upstream: hwplace.KeyOf(d.choice.Upstream.ID),
 				Link:     link,
 			})
 		}
--- a/lib/hwforward/share_test.go
+++ b/lib/hwforward/share_test.go
@@ -24,7 +24,7 @@
 	}))
 	w.confirm()
 	busy := func(upstream string) hwplace.PeerLoad {
-		return hwplace.PeerLoad{Upstream: upstream, Tokens: 100_000, Running: 1}
+		return hwplace.PeerLoad{Upstream: hwplace.KeyOf(upstream), Tokens: 100_000, Running: 1}
 	}
 	use := map[string]hwadmit.Use{
 		"flood":  {Asked: 90_000, Given: 40_000},
--- a/lib/hwplace/place_test.go
+++ b/lib/hwplace/place_test.go
@@ -201,7 +201,7 @@
 func TestPeersWorkCounts(t *testing.T) {
 	p := engines(2)
 	busy := serve(t, p, start, report(1, 1)).Upstream.ID
-	p.SetPeer(start, "router-2", []hwplace.PeerLoad{{Upstream: busy, Tokens: 100_000, Running: 20}})
+	p.SetPeer(start, "router-2", []hwplace.PeerLoad{{Upstream: hwplace.KeyOf(busy), Tokens: 100_000, Running: 20}})
 	choice := choose(t, p, start, report(1, 2))
 	assert.NotEqual(t, busy, choice.Upstream.ID)
 	assert.Equal(t, busy, choose(t, p, start.Add(time.Minute), report(1, 2)).Upstream.ID)
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -61,9 +61,15 @@
 	SlowPercent int
 }
 
+// Key names an upstream among routers in four bytes. Two upstreams of a fleet hardly ever share one, and if they do, they count for each other in what peers tell.
+type Key uint32
+
+// KeyOf returns the key of an upstream's id.
+func KeyOf(id string) Key { return Key(hwprompt.Hash(id)) }
+
 // PeerLoad is another router's work at an upstream.
 type PeerLoad struct {
-	Upstream string
+	Upstream Key
 	Tokens   float64
 	Running  int
 }
@@ -115,10 +121,12 @@
 	engine   bool
 	capacity int
 	members  map[string]*member
-	index    *hwprompt.Index
-	peers    map[string]peerReport
+	// ids are the members' ids by key.
+	ids   map[Key]string
+	index *hwprompt.Index
+	peers map[string]peerReport
 	// elsewhere sums the peers' reports by upstream.
-	elsewhere map[string]*PeerLoad
+	elsewhere map[Key]*PeerLoad
 	rate      rate
 	// requestMS is the learned time of a plain request.
 	requestMS float64
@@ -136,9 +144,10 @@
 		engine:    cacheTokens > 0,
 		capacity:  int(float64(cacheTokens) * settings.CachePart),
 		members:   map[string]*member{},
+		ids:       map[Key]string{},
 		index:     hwprompt.NewIndex(),
 		peers:     map[string]peerReport{},
-		elsewhere: map[string]*PeerLoad{},
+		elsewhere: map[Key]*PeerLoad{},
 		rate: rate{
 			tokensPerMS: settings.TokensPerMS,
 		},
@@ -162,6 +171,7 @@
 				hash: hwprompt.Hash(u.ID),
 			}
 			p.members[u.ID] = m
+			p.ids[KeyOf(u.ID)] = u.ID
 			added = append(added, u.ID)
 		} else if u.Leaving && !m.upstream.Leaving {
 			leaving = append(leaving, u.ID)
@@ -171,6 +181,7 @@
 	for id := range p.members {
 		if !listed[id] {
 			delete(p.members, id)
+			delete(p.ids, KeyOf(id))
 			p.index.Forget(id)
 			left = append(left, id)
 		}
@@ -237,8 +248,8 @@
 }
 
 // others returns the other routers' work at an upstream.
-func (p *Pool) others(id string) PeerLoad {
-	if sum := p.elsewhere[id]; sum != nil {
+func (p *Pool) others(m *member) PeerLoad {
+	if sum := p.elsewhere[Key(m.hash)]; sum != nil {
 		return *sum
 	}
 	return PeerLoad{}
@@ -247,10 +258,10 @@
 // Loads returns the router's own work, for its peers.
 func (p *Pool) Loads() []PeerLoad {
 	loads := make([]PeerLoad, 0, len(p.members))
-	for id, m := range p.members {
+	for _, m := range p.members {
 		if m.running > 0 {
 			loads = append(loads, PeerLoad{
-				Upstream: id,
+				Upstream: Key(m.hash),
 				Tokens:   m.tokens,
 				Running:  m.running,
 			})
@@ -260,9 +271,9 @@
 }
 
 // Hold notes that an upstream read a part for another router.
-func (p *Pool) Hold(upstream string, link hwprompt.Link) {
-	if p.members[upstream] != nil {
-		p.index.Hold(upstream, link, p.capacity)
+func (p *Pool) Hold(upstream Key, link hwprompt.Link) {
+	if id, listed := p.ids[upstream]; listed {
+		p.index.Hold(id, link, p.capacity)
 	}
 }
 
@@ -308,7 +319,7 @@
 
 // weigh returns what a request would find at an upstream and its score in milliseconds; the lowest score is best.
 func (p *Pool) weigh(now time.Time, m *member, ask Ask, holder *member, held int) (Choice, float64) {
-	other := p.others(m.upstream.ID)
+	other := p.others(m)
 	running := m.running + other.Running
 	slots := max(1, m.upstream.Slots)
 	choice := Choice{
--- a/lib/hwplace/slope_test.go
+++ b/lib/hwplace/slope_test.go
@@ -22,7 +22,7 @@
 			for peer := range size.peers {
 				var loads []hwplace.PeerLoad
 				for u := range min(40, size.upstreams) {
-					loads = append(loads, hwplace.PeerLoad{Upstream: "engine-" + strconv.Itoa((peer*7+u)%size.upstreams), Tokens: 1000, Running: 1})
+					loads = append(loads, hwplace.PeerLoad{Upstream: hwplace.KeyOf("engine-" + strconv.Itoa((peer*7+u)%size.upstreams)), Tokens: 1000, Running: 1})
 				}
 				p.SetPeer(start, "router-"+strconv.Itoa(peer), loads)
 			}
--- a/lib/hwplace/ticket.go
+++ b/lib/hwplace/ticket.go
@@ -14,7 +14,7 @@
 	if m == nil {
 		return ticket
 	}
-	ticket.ahead = m.tokens + p.others(choice.Upstream.ID).Tokens
+	ticket.ahead = m.tokens + p.others(m).Tokens
 	if m.waiting == 0 {
 		m.waitingSince = now
 	}
