--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOBIN := $(CURDIR)/.bin
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
-.PHONY: demo test race scenarios smoke build lint format tools measure slopes fuzz generate check-generated
+.PHONY: demo test race scenarios smoke soak build lint format tools measure slopes fuzz generate check-generated
 
 demo: ## Stand-ins and four routers in one process, a mixed load, a table of who got what.
 	go run ./cmd/hickorywick-standin demo
@@ -24,6 +24,10 @@
 	bash scripts/smoke.sh $(GOBIN)
 	bash scripts/readme.sh
 
+soak: ## Fifty fresh seeds of the fault soak; the processes' logs of seeds that fail go to .soak.
+	mkdir -p .soak
+	go test ./platform/hwsoak -run TestSoak -v -timeout 60m -first-seed $$(date +%s) -seeds 50 -logs $(CURDIR)/.soak
+
 measure: ## Every measurement of docs/measurements.md.
 	go run ./cmd/hickorywick-standin measure --case all
 
--- a/lib/hwfleet/ask.go
+++ b/lib/hwfleet/ask.go
@@ -33,7 +33,9 @@
 }
 
 // Error says what happened.
-func (e *NoReaderError) Error() string { return "no router of the fleet answered with something new enough" }
+func (e *NoReaderError) Error() string {
+	return "no router of the fleet answered with something new enough"
+}
 
 // SetState sets what the fleet answers to routers that ask.
 func (f *Fleet) SetState(state func() (hwfollow.State, bool)) {
