--- a/lib/hwfleet/fleet.go
+++ b/lib/hwfleet/fleet.go
@@ -29,10 +29,20 @@
 	Self netip.AddrPort
 	// Every is the time between two datagrams to each peer.
 	Every time.Duration
+	// PerSecond bounds the datagrams of a second; 0 is no bound. A fleet in which Every would exceed it tells its news less often.
+	PerSecond int
 	// Forget is how long a peer that says nothing is still told news; a peer that was cut off finds back through the seeds.
 	Forget time.Duration
 }
 
+// pace returns the time between two datagrams to each of a number of peers.
+func (s Settings) pace(peers int) time.Duration {
+	if s.PerSecond <= 0 {
+		return s.Every
+	}
+	return max(s.Every, time.Duration(peers)*time.Second/time.Duration(s.PerSecond))
+}
+
 // Teller is what has news for peers and takes theirs.
 type Teller interface {
 	Tell(now time.Time) hwforward.News
@@ -107,10 +117,15 @@
 	receiving := hwtask.Start(ctx, f.receive)
 	ticker := time.NewTicker(f.settings.Every)
 	defer ticker.Stop()
+	var sent time.Time
 	for {
 		select {
 		case <-ticker.C:
-			f.send(f.now())
+			// Half a period late is nearer than half a period early.
+			if now := f.now(); !now.Before(sent.Add(f.settings.pace(f.Peers(now)) - f.settings.Every/2)) {
+				sent = now
+				f.send(now)
+			}
 		case <-ctx.Done():
 			return hwtask.Join(receiving)
 		}
--- a/lib/hwforward/news.go
+++ b/lib/hwforward/news.go
@@ -27,7 +27,7 @@
 
 // The bounds of what one message tells.
 const (
-	newsReadings = 40
+	newsReadings = 200
 	newsStrikes  = 20
 )
 
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -218,22 +218,28 @@
 		d.ratio = r.shares.Ratio(now, d.account, r.table.Load().Limits().TokensPerSecond)
 	}
 	d.wait = d.choice.Wait
+	d.returning = r.patience.Returning(now, d.route.Name, d.call.Patience)
 	verdict := r.settings.Admit.Decide(hwadmit.Request{
 		Wait:      d.wait,
 		Objective: d.route.Objective,
 		Ratio:     d.ratio,
 		Reading:   d.choice.Reading,
-		Returning: r.patience.Returning(now, d.route.Name, d.call.Patience),
+		Returning: d.returning,
 		Draw:      r.random.Float64(),
 	})
 	if !verdict.Admitted {
+		reason := "the wait would be too long"
+		if d.wait <= verdict.Limit {
+			reason = "the account is over its share and idle capacity is not lent for that long"
+		}
+		refusal := refuse(hwerror.KindDeadline, reason).WithRetryAfter(verdict.RetryAfter)
 		if !metered || !r.shares.Behind(now, d.account, r.table.Load().Limits().TokensPerSecond) {
-			return refuse(hwerror.KindDeadline, "the wait would be too long").WithRetryAfter(verdict.RetryAfter)
+			return refusal
 		}
 		ask.Within = r.settings.Admit.Limit(d.route.Objective)
 		other, found := pool.Choose(now, ask)
 		if !found {
-			return refuse(hwerror.KindDeadline, "the wait would be too long").WithRetryAfter(verdict.RetryAfter)
+			return refusal
 		}
 		d.choice = other
 		d.wait = other.Wait
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -52,8 +52,10 @@
 	firstByte time.Time
 	// extended is when the write deadline was last moved.
 	extended time.Time
-	wait     time.Duration
-	ratio    float64
+	// wait, ratio and returning are what decided whether the request was taken.
+	wait      time.Duration
+	ratio     float64
+	returning bool
 }
 
 // ServeHTTP serves one request of a caller.
@@ -284,6 +286,8 @@
 			hwevent.With("kind", string(f.Kind)),
 			hwevent.With("execution", string(f.Execution)),
 			hwevent.With("reason", f.Message),
+			hwevent.With("reading-ms", d.choice.Reading.Milliseconds()),
+			hwevent.With("returning", d.returning),
 			hwevent.With("table-version", r.version()),
 			hwevent.With("table-age-ms", r.Age().Milliseconds()),
 		)
