--- a/lib/hwfleet/ask.go
+++ b/lib/hwfleet/ask.go
@@ -25,8 +25,6 @@
 	readerSilence = 1200 * time.Millisecond
 	// answerTimeout is how long an answer may take before the next reader is asked; a router answers from memory.
 	answerTimeout = 120 * time.Millisecond
-	// tablePart bounds the part of a table that one datagram carries, in bytes, so that a large table does not fill a link.
-	tablePart = 16 << 10
 )
 
 // NoReaderError says that no router answered with something new enough.
@@ -93,11 +91,9 @@
 	}()
 	f.write(target, &hwpeerpb.Datagram{
 		Query: &hwpeerpb.StateQuery{
-			Nonce:     nonce,
-			Digest:    want.Digest,
-			List:      want.List,
-			Table:     want.Table,
-			TableFrom: uint32(want.From),
+			Nonce:  nonce,
+			Digest: want.Digest,
+			List:   want.List,
 		},
 	})
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
@@ -141,10 +137,6 @@
 		TableAgeMs: milliseconds(state.TableAge),
 		ListAgeMs:  milliseconds(state.ListAge),
 		Digest:     state.Digest,
-		TableSize:  uint32(state.Size),
-	}
-	if from := int(query.GetTableFrom()); query.GetTable() && from < len(state.Encoded) {
-		message.TablePart = state.Encoded[from:min(from+tablePart, len(state.Encoded))]
 	}
 	if query.GetList() && state.Digest != query.GetDigest() {
 		for _, u := range state.List {
@@ -177,8 +169,6 @@
 		TableAge: time.Duration(message.GetTableAgeMs()) * time.Millisecond,
 		ListAge:  time.Duration(message.GetListAgeMs()) * time.Millisecond,
 		Digest:   message.GetDigest(),
-		Size:     int(message.GetTableSize()),
-		Encoded:  message.GetTablePart(),
 	}
 	for _, u := range message.GetUpstreams() {
 		state.List = append(state.List, hwplace.Upstream{
--- a/lib/hwfleet/fleet_test.go
+++ b/lib/hwfleet/fleet_test.go
@@ -1,7 +1,6 @@
 package hwfleet_test
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -116,8 +115,8 @@
 	stranger, err := net.Dial("udp4", seed.String())
 	require.NoError(t, err)
 	defer func() { _ = stranger.Close() }()
-	for _, datagram := range [][]byte{{}, {0xff, 0xff}, []byte("GET / HTTP/1.1\r\n\r\n"), {0x0a, 0x00}} {
-		_, err := stranger.Write(datagram)
+	for _, bytes := range [][]byte{{}, {0xff, 0xff}, []byte("GET / HTTP/1.1\r\n\r\n"), {0x0a, 0x00}} {
+		_, err := stranger.Write(bytes)
 		require.NoError(t, err)
 	}
 	_, _, _ = join(t, "second", hwforward.News{}, seed)
@@ -130,8 +129,7 @@
 // One of the routers reads the store; any other one gets the state from it, with its list only if it differs.
 func TestAReaderAnswersForTheStore(t *testing.T) {
 	list := []hwplace.Upstream{{ID: "u", Address: "10.0.0.1:80", Zone: "z", Pool: "p", Slots: 4, Started: 9, Leaving: true, Version: 3}}
-	table := bytes.Repeat([]byte("a table of several datagrams "), 2000)
-	state := hwfollow.State{Encoded: table, Size: len(table), Revision: 12, TableAge: 250 * time.Millisecond, ListAge: 1500 * time.Microsecond, Digest: 77, List: list}
+	state := hwfollow.State{Revision: 12, TableAge: 250 * time.Millisecond, ListAge: 1500 * time.Microsecond, Digest: 77, List: list}
 	fleets := four(t, func(int) hwfollow.State { return state })
 	for _, fleet := range fleets {
 		if fleet.Reader(time.Now()) {
@@ -146,16 +144,6 @@
 		got, err = fleet.Ask(context.Background(), hwfollow.Want{List: true, Digest: 77, Oldest: time.Second})
 		require.NoError(t, err)
 		assert.Nil(t, got.List)
-		assert.Empty(t, got.Encoded, "only whoever wants the table gets it")
-		assert.Equal(t, len(table), got.Size)
-		var fetched []byte
-		for len(fetched) < len(table) {
-			got, err = fleet.Ask(context.Background(), hwfollow.Want{Table: true, From: len(fetched), Oldest: time.Second})
-			require.NoError(t, err)
-			require.NotEmpty(t, got.Encoded)
-			fetched = append(fetched, got.Encoded...)
-		}
-		assert.Equal(t, table, fetched)
 	}
 }
 
--- a/lib/hwfollow/follow.go
+++ b/lib/hwfollow/follow.go
@@ -22,10 +22,9 @@
 	Upstreams(ctx context.Context) (ListAnswer, error)
 }
 
-// TableAnswer is the newest table, or nil, with its revision. Encoded is the table as the source keeps it, for other routers.
+// TableAnswer is the newest table, or nil, with its revision.
 type TableAnswer struct {
 	Table    *hwtable.Table
-	Encoded  []byte
 	Revision int64
 	Age      time.Duration
 }
@@ -81,7 +80,6 @@
 // known is what the follower has learned and when, by the boot clock.
 type known struct {
 	revision int64
-	encoded  []byte
 	tableAt  time.Duration
 	list     []hwplace.Upstream
 	digest   uint64
@@ -91,9 +89,6 @@
 // State is what a router knows of the store, for routers that ask it in place of the store.
 type State struct {
 	Revision int64
-	// Encoded is the table of this revision, in an answer only the part that was asked for. Size is that of the whole.
-	Encoded  []byte
-	Size     int
 	TableAge time.Duration
 	ListAge  time.Duration
 	Digest   uint64
@@ -108,8 +103,6 @@
 	k := f.state
 	return State{
 		Revision: k.revision,
-		Encoded:  k.encoded,
-		Size:     len(k.encoded),
 		TableAge: boot - k.tableAt,
 		ListAge:  boot - k.listAt,
 		Digest:   k.digest,
@@ -180,9 +173,6 @@
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	f.state.revision = f.revision
-	if answer.Table != nil {
-		f.state.encoded = answer.Encoded
-	}
 	f.state.tableAt = max(f.state.tableAt, boot-answer.Age)
 	return nil
 }
--- a/lib/hwfollow/follow_test.go
+++ b/lib/hwfollow/follow_test.go
@@ -107,13 +107,6 @@
 	}, nil
 }
 
-func (s *source) Decode(encoded []byte, revision int64) (*hwtable.Table, error) {
-	if string(encoded) != "the table" {
-		return nil, lostError{}
-	}
-	return hwtable.New(hwtable.Contents{Version: uint64(revision)}), nil
-}
-
 func (s *source) Upstreams(context.Context) (hwfollow.ListAnswer, error) {
 	if s.failing.Load() {
 		return hwfollow.ListAnswer{}, lostError{}
--- a/lib/hwfollow/shared.go
+++ b/lib/hwfollow/shared.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hickorywick/hickorywick/lib/hwplace"
-	"github.com/hickorywick/hickorywick/lib/hwtable"
 )
 
 // Asker asks other routers for what they know of the store.
@@ -19,20 +18,11 @@
 	Ask(ctx context.Context, want Want) (State, error)
 }
 
-// Origin is a source that can also read a table which another router got from it and passed on as it was encoded.
-type Origin interface {
-	Source
-	Decode(encoded []byte, revision int64) (*hwtable.Table, error)
-}
-
 // Want is what an asker needs beside revision and ages.
 type Want struct {
 	// List asks for the list, unless its digest is the given one.
 	List   bool
 	Digest uint64
-	// Table asks for a part of the encoded table, from a position on.
-	Table bool
-	From  int
 	// Oldest is how old the list may be, or the table if the list is not wanted.
 	Oldest time.Duration
 }
@@ -47,7 +37,7 @@
 
 // Shared is a source that reads the store through one router of the fleet, so that the store's load does not grow with the fleet. A router that gets no answer new enough reads for itself.
 type Shared struct {
-	own    Origin
+	own    Source
 	asker  Asker
 	oldest time.Duration
 	now    func() time.Time
@@ -57,7 +47,7 @@
 }
 
 // NewShared returns a source that reads from own when this router is a reader, or when no reader has an answer younger than oldest.
-func NewShared(own Origin, asker Asker, oldest time.Duration, now func() time.Time) *Shared {
+func NewShared(own Source, asker Asker, oldest time.Duration, now func() time.Time) *Shared {
 	return &Shared{
 		own:    own,
 		asker:  asker,
@@ -66,56 +56,22 @@
 	}
 }
 
-// Table returns a reader's confirmation of the known revision, or its newer table, or else the store's.
+// Table returns a reader's confirmation of the known revision, or else the store's table.
 func (s *Shared) Table(ctx context.Context, known int64) (TableAnswer, error) {
-	if !s.asker.Reader(s.now()) {
+	if known > 0 && !s.asker.Reader(s.now()) {
 		state, err := s.asker.Ask(ctx, Want{
 			Oldest: s.oldest,
 		})
-		switch {
-		case err != nil || state.Revision < known || state.Revision == 0:
-			// The store knows more, or nobody was asked who knows anything.
-		case state.Revision == known:
+		if err == nil && state.Revision == known {
 			return TableAnswer{
 				Revision: known,
 				Age:      state.TableAge,
 			}, nil
-		default:
-			if answer, fetched := s.fetch(ctx, state); fetched {
-				return answer, nil
-			}
 		}
 	}
 	return s.own.Table(ctx, known)
 }
 
-// fetch gets the table of a reader's state, part by part. A router whose own way to the store is cut learns of changes like this, and a change costs the store one call in place of one for each router.
-func (s *Shared) fetch(ctx context.Context, state State) (TableAnswer, bool) {
-	var encoded []byte
-	for size := state.Size; len(encoded) < size; {
-		part, err := s.asker.Ask(ctx, Want{
-			Table:  true,
-			From:   len(encoded),
-			Oldest: s.oldest,
-		})
-		// Another router, or the same one after a change, may have another table.
-		if err != nil || part.Revision != state.Revision || part.Size != size || len(part.Encoded) == 0 {
-			return TableAnswer{}, false
-		}
-		encoded = append(encoded, part.Encoded...)
-	}
-	table, err := s.own.Decode(encoded, state.Revision)
-	if err != nil || table == nil {
-		return TableAnswer{}, false
-	}
-	return TableAnswer{
-		Table:    table,
-		Encoded:  encoded,
-		Revision: state.Revision,
-		Age:      state.TableAge,
-	}, true
-}
-
 // Upstreams returns a reader's list, or else the store's.
 func (s *Shared) Upstreams(ctx context.Context) (ListAnswer, error) {
 	if !s.asker.Reader(s.now()) {
--- a/lib/hwfollow/shared_test.go
+++ b/lib/hwfollow/shared_test.go
@@ -14,10 +14,8 @@
 // asker answers with a state, or not at all.
 type asker struct {
 	reader bool
-	// changes tells that the table changes while it is passed on.
-	changes bool
-	state   hwfollow.State
-	err     error
+	state  hwfollow.State
+	err    error
 }
 
 func (a *asker) Reader(time.Time) bool { return a.reader }
@@ -27,12 +25,6 @@
 	if !want.List || want.Digest == state.Digest {
 		state.List = nil
 	}
-	if want.Table {
-		state.Encoded = state.Encoded[want.From:min(want.From+4, len(state.Encoded))]
-		if a.changes {
-			state.Revision++
-		}
-	}
 	if a.err == nil && !want.Fresh(a.state) {
 		return hwfollow.State{}, lostError{}
 	}
@@ -99,43 +91,3 @@
 	assert.NotEqual(t, hwfollow.Digest(a), hwfollow.Digest(list("a")))
 	assert.NotEqual(t, hwfollow.Digest(a), hwfollow.Digest(list("a", "b", "b")))
 }
-
-// encoded is a reader's state with a table that others may fetch.
-func encoded(table string) hwfollow.State {
-	return hwfollow.State{Revision: 8, TableAge: 300 * time.Millisecond, Encoded: []byte(table), Size: len(table)}
-}
-
-// Pattern: routers that are cut off from the store while the configuration changes, some of them just started. They get it from the reader.
-func TestANewerTableIsFetchedFromTheReader(t *testing.T) {
-	for _, known := range []int64{0, 7} {
-		own := &source{}
-		own.failing.Store(true)
-		answer, err := shared(own, &asker{state: encoded("the table")}).Table(context.Background(), known)
-		require.NoError(t, err)
-		assert.EqualValues(t, 8, answer.Table.Version())
-		assert.EqualValues(t, 8, answer.Revision)
-		assert.Equal(t, "the table", string(answer.Encoded), "and can be passed on again")
-		assert.Equal(t, 300*time.Millisecond, answer.Age)
-		assert.Zero(t, own.asked.Load())
-	}
-}
-
-// A table that can't be fetched whole, or that the reader does not have, is read from the store.
-func TestATableThatCannotBeFetchedIsReadFromTheStore(t *testing.T) {
-	older := encoded("the table")
-	older.Revision = 6
-	for name, a := range map[string]*asker{
-		"another table": {state: encoded("nonsense!")},
-		"no table":      {state: encoded("")},
-		"a change":      {state: encoded("the table"), changes: true},
-		"an older one":  {state: older},
-	} {
-		t.Run(name, func(t *testing.T) {
-			own := &source{revision: 9}
-			answer, err := shared(own, a).Table(context.Background(), 7)
-			require.NoError(t, err)
-			assert.EqualValues(t, 9, answer.Revision)
-			assert.EqualValues(t, 1, own.asked.Load())
-		})
-	}
-}
