--- a/lib/hwfleet/fleet.go
+++ b/lib/hwfleet/fleet.go
@@ -121,7 +121,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			// Half a period late is nearer than half a period early.
+			// Ticks jitter; one that comes up to half of a tick early still counts.
 			if now := f.now(); !now.Before(sent.Add(f.settings.pace(f.Peers(now)) - f.settings.Every/2)) {
 				sent = now
 				f.send(now)
