--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -24,6 +24,8 @@
 	// RetryRatio and RetryReserve bound what this router sends again, as a part of its requests and as a number on top.
 	RetryRatio   float64
 	RetryReserve float64
+	// RetryRefill is the time in which the reserve fills up again. It has to be longer than the window over which sends are counted, so that two reserves never meet in one.
+	RetryRefill time.Duration
 	// KeyFreshness is how long a confirmed table is good for requests with a key. TableFreshness is how long it is good for saying that a route or key does not exist.
 	KeyFreshness   time.Duration
 	TableFreshness time.Duration
@@ -236,16 +238,13 @@
 		b = hwretry.NewBudget(now, hwretry.BudgetSettings{
 			Ratio:   r.settings.RetryRatio,
 			Reserve: r.settings.RetryReserve,
-			Trickle: r.settings.RetryReserve / retryRefill.Seconds(),
+			Trickle: r.settings.RetryReserve / r.settings.RetryRefill.Seconds(),
 		})
 		r.budgets[name] = b
 	}
 	return b
 }
 
-// retryRefill is the time in which an idle budget fills up. It is longer than the window over which upstreams count, so that two reserves never meet in one.
-const retryRefill = 15 * time.Second
-
 // Ready reports whether the router can serve callers.
 func (r *Router) Ready(now time.Time) bool {
 	if r.stopped.Load() != nil || r.table.Load() == nil || !r.fresh(now, r.settings.KeyFreshness) {
--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -171,6 +171,7 @@
 		ShareWindow:    time.Second,
 		RetryRatio:     0.1,
 		RetryReserve:   5,
+		RetryRefill:    15 * time.Second,
 		KeyFreshness:   4 * time.Second,
 		TableFreshness: 2 * time.Second,
 		BodyTimeout:    2 * time.Second,
--- a/lib/hwfront/server_test.go
+++ b/lib/hwfront/server_test.go
@@ -71,6 +71,7 @@
 		Place:        hwplace.Settings{TokensPerMS: 1, RequestMS: 1},
 		Admit:        hwadmit.Settings{WaitPart: 1, OverSpan: 1},
 		ShareWindow:  time.Second,
+		RetryRefill:  time.Second,
 		KeyFreshness: time.Hour,
 		DrainTime:    time.Hour,
 		BodyTimeout:  time.Second,
