--- a/lib/hwfront/listener.go
+++ b/lib/hwfront/listener.go
@@ -14,7 +14,7 @@
 
 // listen opens a listener whose queue is bounded.
 func listen(ctx context.Context, address string) (net.Listener, error) {
-	// A caller that has gone without a word is found by the bounds on reading, writing and idling; probes would cost four system calls for each connection.
+	// A caller that disappeared is found by the bounds on reading, writing and idling; probes would cost four system calls for each connection.
 	config := net.ListenConfig{
 		KeepAlive: -1,
 	}
