Answers' heads are bounded, and a late copy of an answer is never the next request's

Cause: http.ReadResponse was given the connection itself, so a status line, a header line, header fields or interim answers without end were kept until the process was out of memory. A second copy of an answer was told by its id only; one without an id, or any answer to a request without an id, was taken, and one in chunks failed the request.

Ruled out: chunk extensions, chunk sizes and trailers; net/http bounds them by itself (same test).

Change: one budget of 64 KiB, 256 fields and 5 interim answers for the heads of an exchange; answers to others are skipped up to 256 KiB, in chunks too; an answer without an id is taken only on a connection that carried nothing before; requests without an id, or sent to the same upstream again, get a new connection.

--- a/lib/hwlink/link.go
+++ b/lib/hwlink/link.go
@@ -50,6 +50,8 @@
 	IDHeader string
 	// MaxIdle is how long a kept connection may have been idle to be used; 0 is no bound. An upstream may drop an idle connection without a word, and what is sent on it then may be lost or not: a request that can't be repeated had better pay for a new one.
 	MaxIdle time.Duration
+	// Fresh asks for a new connection, on which no answer to an earlier request can arrive.
+	Fresh bool
 }
 
 // Failure says how far a failed exchange got.
@@ -80,6 +82,9 @@
 
 // Error says which ids differ.
 func (e *CrossedError) Error() string {
+	if e.Got == "" {
+		return "the answer carried no id in place of " + e.Want + " on a connection that had carried others"
+	}
 	return "the answer carried id " + e.Got + " in place of " + e.Want
 }
 
@@ -95,10 +100,14 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// head bounds what the reader takes while a head is read.
+	head *headReader
 	// until is when the connection must not be used any more.
 	until time.Time
 	// since is when the connection became idle.
 	since time.Time
+	// used tells that the connection has carried another exchange before.
+	used bool
 }
 
 // Links keeps the connections to all upstreams.
@@ -203,6 +212,7 @@
 func (l *Links) put(now time.Time, address string, c *conn, keep time.Duration) {
 	c.until = now.Add(keep)
 	c.since = now
+	c.used = true
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	idle := l.idle[address]
@@ -221,10 +231,19 @@
 	if err != nil {
 		return nil, err
 	}
+	return newConn(c), nil
+}
+
+func newConn(c net.Conn) *conn {
+	bounded := &headReader{
+		source: c,
+		left:   unbounded,
+	}
 	return &conn{
 		Conn:   c,
-		reader: bufio.NewReaderSize(c, readBuffer),
-	}, nil
+		reader: bufio.NewReaderSize(bounded, readBuffer),
+		head:   bounded,
+	}
 }
 
 // readBuffer is small because most connections carry small events; larger reads pass it by. In bytes.
@@ -256,7 +275,11 @@
 
 // Do sends a request and returns the head of its answer. Cancelling the context closes the connection, which ends the run at the upstream.
 func (l *Links) Do(ctx context.Context, now time.Time, r *Request) (*Answer, *Failure) {
-	c := l.take(now, r.Address, r.MaxIdle)
+	var c *conn
+	// Without an id, nothing would tell the answer from a late one to an earlier request.
+	if anonymous := r.IDHeader != "" && r.ID == ""; !r.Fresh && !anonymous {
+		c = l.take(now, r.Address, r.MaxIdle)
+	}
 	if c == nil {
 		opened, err := l.dial(ctx, r.Address)
 		if err != nil {
@@ -336,21 +359,15 @@
 // strayAnswers bounds the answers to other requests that are skipped on one connection.
 const strayAnswers = 2
 
-// readHead reads the answer's head. An answer that echoes another id came late for an earlier request: it is skipped if its length is known.
+// readHead reads the answer's head. An answer that echoes another id came late for an earlier request: it is skipped if its end is known and near.
 func (a *Answer) readHead() *Failure {
 	for skipped := 0; ; skipped++ {
-		response, err := http.ReadResponse(a.conn.reader, &http.Request{ //nolint:bodyclose // Closing the body would read it; the connection is closed or drained instead.
-			Method: a.request.Method,
-		})
+		response, err := a.finalHead() //nolint:bodyclose // Closing the body would read it; the connection is closed or drained instead.
 		if err != nil {
 			return a.failed(err, broken(err))
 		}
-		if response.StatusCode < http.StatusOK {
-			skipped--
-			continue
-		}
 		echoed := response.Header.Get(a.request.IDHeader)
-		if a.request.IDHeader == "" || echoed == "" || echoed == a.request.ID {
+		if a.request.IDHeader == "" || echoed == a.request.ID || echoed == "" && !a.conn.used {
 			a.take(response)
 			return nil
 		}
@@ -359,15 +376,23 @@
 			Got:  echoed,
 		}, false)
 		crossed.Crossed = true
-		if skipped >= strayAnswers || response.ContentLength < 0 {
-			return crossed
-		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if skipped >= strayAnswers || echoed == "" || unframed(response, a.request.Method) || !drained(response.Body, strayBytes) {
 			return crossed
 		}
 	}
 }
 
+// drained reads a body to its end and reports whether it came within the bound.
+func drained(body io.Reader, bound int64) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, bound+1))
+	return err == nil && n <= bound
+}
+
+// unframed reports whether an answer has no length and ends with its connection.
+func unframed(response *http.Response, method string) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && method != http.MethodHead
+}
+
 // broken reports whether a failed read says that the connection ended, in place of carrying bytes that are no answer.
 func broken(err error) bool {
 	var network *net.OpError
@@ -380,7 +405,7 @@
 	a.Length = response.ContentLength
 	a.Body = response.Body
 	a.closing = response.Close
-	a.unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0 && a.request.Method != http.MethodHead
+	a.unframed = unframed(response, a.request.Method)
 }
 
 func (a *Answer) failed(cause error, broken bool) *Failure {
