Bodies take memory as they arrive, bounded over all requests; the end of a slow stream is no longer cut

Cause: a stated length got its buffer at once, up to 16 MiB a request, and nothing bounded all requests together; the store's answers had no bound; the OpenAI edge took the first 32 MiB of a longer answer for the whole.

--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -29,6 +29,8 @@
 	// KeyFreshness is how long a confirmed table is good for requests with a key. TableFreshness is how long it is good for saying that a route or key does not exist.
 	KeyFreshness   time.Duration
 	TableFreshness time.Duration
+	// BodyMemory bounds the memory of all bodies that are kept at a time, of requests and of answers, in bytes; 0 is no bound.
+	BodyMemory int64
 	// BodyTimeout bounds the reading of a request's body.
 	BodyTimeout time.Duration
 	// WriteTimeout bounds one write to a caller.
@@ -77,6 +79,7 @@
 	// stopped is when the router was told to stop, nil before.
 	stopped  atomic.Pointer[time.Time]
 	inFlight atomic.Int64
+	held     held
 
 	lock     sync.Mutex
 	random   *rand.Rand
@@ -97,7 +100,10 @@
 // New returns a router without a table or upstreams.
 func New(settings Settings, dependencies Dependencies) *Router {
 	return &Router{
-		settings:  settings,
+		settings: settings,
+		held: held{
+			most: settings.BodyMemory,
+		},
 		edge:      dependencies.Edge,
 		links:     dependencies.Links,
 		logger:    dependencies.Logger,
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"runtime"
+	"slices"
 	"strconv"
 	"time"
 
@@ -271,6 +272,7 @@
 		}),
 		Body:     d.body,
 		MaxIdle:  d.maxIdle(),
+		Fresh:    slices.Contains(d.excluded, d.choice.Upstream.ID),
 		ID:       d.call.ID,
 		IDHeader: r.edge.IDHeader(),
 	})
@@ -357,9 +359,12 @@
 	return d.call.ResumeAfter
 }
 
+// largestRefusal bounds the body of an upstream's refusal, in bytes. Nobody reads it; a new connection costs less than a longer one.
+const largestRefusal = 16 << 10
+
 // refusedByUpstream ends an attempt that the upstream says it did not run.
 func (d *delivery) refusedByUpstream(ctx context.Context, answer *hwlink.Answer) attempt {
-	if _, err := readBounded(answer.Body, answer.Length); err == nil {
+	if _, err := readBody(answer.Body, answer.Length, largestRefusal, d.hold); err == nil {
 		answer.Finish(d.router.clock.Now())
 	}
 	d.finish(ctx, answer.Status == http.StatusMisdirectedRequest, false)
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -56,6 +57,8 @@
 	wait      time.Duration
 	ratio     float64
 	returning bool
+	// holds is the memory of bodies that the request has taken, in bytes.
+	holds int64
 }
 
 // ServeHTTP serves one request of a caller.
@@ -71,6 +74,7 @@
 		call:    r.edge.Call(request),
 		arrived: now,
 	}
+	defer d.release()
 	r.metrics.requests.Add(1)
 	if r.stopped.Load() != nil {
 		w.Header().Set("Connection", "close")
@@ -108,36 +112,27 @@
 		d.refuse(refuse(hwerror.KindTooLarge, "the body is larger than the limit"))
 		return false
 	}
-	body, err := readAll(io.LimitReader(d.request.Body, limit+1), d.request.ContentLength)
-	if err != nil {
-		d.router.logger.Emit(hwevent.CallerGone, hwevent.With("request-id", d.call.ID), hwevent.With("cause", err.Error()))
-		panic(http.ErrAbortHandler)
-	}
+	body, err := readBody(d.request.Body, d.request.ContentLength, limit, d.hold)
 	_ = d.control.SetReadDeadline(time.Time{})
-	if int64(len(body)) > limit {
+	var larger *LargerError
+	var memory *MemoryError
+	switch {
+	case errors.As(err, &larger):
 		d.refuse(refuse(hwerror.KindTooLarge, "the body is larger than the limit"))
 		return false
+	case errors.As(err, &memory):
+		refusal := refuse(hwerror.KindQueueFull, "the instance has no memory for the body").WithRetryAfter(noUpstreamRetry)
+		refusal.Cause = err
+		d.refuse(refusal)
+		return false
+	case err != nil:
+		d.router.logger.Emit(hwevent.CallerGone, hwevent.With("request-id", d.call.ID), hwevent.With("cause", err.Error()))
+		panic(http.ErrAbortHandler)
 	}
 	d.body = body
 	return true
 }
 
-// readAll reads to the end, into a buffer of the announced length if there is one.
-func readAll(reader io.Reader, length int64) ([]byte, error) {
-	if length <= 0 {
-		return io.ReadAll(reader)
-	}
-	buffer := make([]byte, length)
-	if _, err := io.ReadFull(reader, buffer); err != nil {
-		return nil, err
-	}
-	// The connection is watched for its end only once the end of the body was seen.
-	if _, err := reader.Read(make([]byte, 1)); err != nil && err != io.EOF {
-		return nil, err
-	}
-	return buffer, nil
-}
-
 func refuse(kind hwerror.Kind, message string) *hwerror.Refusal {
 	return hwerror.Refuse(kind, hwevent.RequestRefused.Number, message)
 }
--- a/lib/hwforward/stream.go
+++ b/lib/hwforward/stream.go
@@ -25,6 +25,8 @@
 	var lost *callerLostError
 	switch {
 	case err == nil:
+		// The end of the answer is still to be written, maybe long after the last event.
+		d.extendWrite()
 		d.finish(ctx, false, false)
 		answer.Finish(d.router.clock.Now())
 		d.log(nil)
@@ -60,7 +62,13 @@
 	chunk := make([]byte, readSize)
 	for {
 		n, err := answer.Body.Read(chunk)
+		kept := cap(pending)
 		pending = append(pending, chunk[:n]...)
+		if grown := cap(pending) - kept; grown > 0 {
+			if failure := d.hold(int64(grown)); failure != nil {
+				return failure
+			}
+		}
 		if n > 0 {
 			rest, failure := d.relayComplete(answer, pending)
 			if failure != nil {
--- a/lib/hwforward/whole.go
+++ b/lib/hwforward/whole.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -28,34 +27,10 @@
 // Error says what is wrong.
 func (e *AnswerError) Error() string { return "the upstream's answer " + e.What }
 
-// readBounded reads a body to its end.
-func readBounded(body io.Reader, length int64) ([]byte, error) {
-	if length >= 0 && length <= largestAnswer {
-		buffer := make([]byte, length)
-		if _, err := io.ReadFull(body, buffer); err != nil {
-			return nil, err
-		}
-		// The reader notes the end of the body with the next read.
-		if n, err := body.Read(make([]byte, 1)); n != 0 || err != io.EOF {
-			return nil, &AnswerError{
-				What: "is longer than announced",
-			}
-		}
-		return buffer, nil
-	}
-	all, err := io.ReadAll(io.LimitReader(body, largestAnswer+1))
-	if err == nil && len(all) > largestAnswer {
-		return nil, &AnswerError{
-			What: "is too large",
-		}
-	}
-	return all, err
-}
-
 // whole reads an answer to its end and relays it, so that one that breaks off never reaches the caller.
 func (d *delivery) whole(ctx context.Context, answer *hwlink.Answer, facts Facts) attempt {
 	r := d.router
-	body, err := readBounded(answer.Body, answer.Length)
+	body, err := readBody(answer.Body, answer.Length, largestAnswer, d.hold)
 	if err != nil {
 		d.finish(ctx, true, true)
 		d.excluded = append(d.excluded, d.choice.Upstream.ID)
--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -143,8 +143,16 @@
 	})
 }
 
+type settings = hwforward.Settings
+
 // newWorld starts a router before upstreams with the given handlers.
 func newWorld(t testing.TB, handlers ...http.HandlerFunc) *world {
+	t.Helper()
+	return newWorldWith(t, func(*settings) {}, handlers...)
+}
+
+// newWorldWith is newWorld with other settings than usual.
+func newWorldWith(t testing.TB, change func(*settings), handlers ...http.HandlerFunc) *world {
 	t.Helper()
 	w := &world{
 		t:     t,
@@ -157,7 +165,7 @@
 		IdlePerUpstream: 8,
 		SilenceTimeout:  2 * time.Second,
 	})
-	w.router = hwforward.New(hwforward.Settings{
+	chosen := settings{
 		Place: hwplace.Settings{
 			TokensPerMS: 50,
 			LoadWeight:  1,
@@ -174,6 +182,7 @@
 		RetryRefill:    15 * time.Second,
 		KeyFreshness:   4 * time.Second,
 		TableFreshness: 2 * time.Second,
+		BodyMemory:     20 << 20,
 		BodyTimeout:    2 * time.Second,
 		WriteTimeout:   2 * time.Second,
 		DrainTime:      time.Second,
@@ -182,7 +191,9 @@
 			Upstreams: 2,
 			Entries:   100,
 		},
-	}, hwforward.Dependencies{
+	}
+	change(&chosen)
+	w.router = hwforward.New(chosen, hwforward.Dependencies{
 		Edge:   testEdge{},
 		Links:  w.links,
 		Logger: hwevent.New(w.log, hwevent.Info),
--- /dev/null
+++ b/lib/hwstore/endless_test.go
@@ -0,0 +1,33 @@
+package hwstore_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorywick/hickorywick/lib/hwstore"
+)
+
+// Pattern: the store sends without end. Each question fails by itself.
+func TestAStoreThatNeverStopsSending(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.WriteString(w, `{"result":{"events":[{"kv":{"value":"`)
+		for err == nil && r.Context().Err() == nil {
+			_, err = io.WriteString(w, strings.Repeat("eHh4", 8<<10))
+		}
+	}))
+	defer server.Close()
+	store := hwstore.NewEtcd(server.URL, 10*time.Second, &http.Client{})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := store.Get(ctx, "k")
+	require.Error(t, err)
+	require.Error(t, store.Watch(ctx, "k", 1, func(hwstore.Change) {}))
+	require.NoError(t, ctx.Err(), "both end by themselves")
+}
--- a/lib/hwstore/etcd.go
+++ b/lib/hwstore/etcd.go
@@ -284,6 +284,9 @@
 	return trace.Wrap(e.call(ctx, "/v3/lease/revoke", request, &struct{}{}))
 }
 
+// answerBytes bounds an answer of the store, in bytes: a value of the largest document, 1.5 MB as etcd allows by default, is a third longer as text, and there is room for as much again.
+const answerBytes = 4 << 20
+
 // call makes one call and says truthfully whether the store may have taken it.
 func (e *Etcd) call(ctx context.Context, path string, request, response any) error {
 	ctx, cancel := context.WithTimeout(ctx, e.timeout)
@@ -296,11 +299,12 @@
 	if answer.StatusCode != http.StatusOK {
 		return e.refusal(path, answer)
 	}
-	if err := json.NewDecoder(answer.Body).Decode(response); err != nil {
+	body := http.MaxBytesReader(nil, answer.Body, answerBytes)
+	if err := json.NewDecoder(body).Decode(response); err != nil {
 		return e.lost(path, true, err)
 	}
 	// The rest is read so that the connection can be used again.
-	_, _ = io.Copy(io.Discard, answer.Body)
+	_, _ = io.Copy(io.Discard, body)
 	return nil
 }
 
--- a/lib/hwstore/watch.go
+++ b/lib/hwstore/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -54,8 +55,12 @@
 	if answer.StatusCode != http.StatusOK {
 		return e.refusal("/v3/watch", answer)
 	}
-	lines := json.NewDecoder(answer.Body)
+	bounded := &messageReader{
+		source: answer.Body,
+	}
+	lines := json.NewDecoder(bounded)
 	for {
+		bounded.left = answerBytes
 		var response watchResponse
 		if err := lines.Decode(&response); err != nil {
 			return e.lost("/v3/watch", true, err)
@@ -162,3 +167,22 @@
 		}
 	}
 }
+
+// messageReader bounds what one message of a watch may take; the watch itself has no end.
+type messageReader struct {
+	source io.Reader
+	// left is what the present message may still take, in bytes.
+	left int
+}
+
+// Read reads within the bound.
+func (m *messageReader) Read(p []byte) (int, error) {
+	if m.left == 0 {
+		return 0, &http.MaxBytesError{
+			Limit: answerBytes,
+		}
+	}
+	n, err := m.source.Read(p[:min(len(p), m.left)])
+	m.left -= n
+	return n, err
+}
--- a/lib/hwupstream/client.go
+++ b/lib/hwupstream/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -250,13 +251,31 @@
 	_ = a.body.Close()
 }
 
-// Whole reads the rest of the answer. The HTTP library reports a body shorter than its announced length as an error.
+// LargerError is the cause of an answer that goes beyond the limit.
+type LargerError struct {
+	Limit int64
+}
+
+// Error names the limit.
+func (e *LargerError) Error() string {
+	return "the answer is larger than " + strconv.FormatInt(e.Limit, 10) + " bytes"
+}
+
+// Whole reads the rest of the answer, which may have at most limit bytes. The HTTP library reports a body shorter than its announced length as an error.
 func (a *Answer) Whole(limit int64) ([]byte, error) {
 	var buffer bytes.Buffer
-	_, err := io.Copy(&buffer, io.LimitReader(a.progressing(), limit))
+	_, err := io.Copy(&buffer, io.LimitReader(a.progressing(), limit+1))
 	if err != nil {
 		return nil, failed(a.attempt, true, a.watchdog, err)
 	}
+	if int64(buffer.Len()) > limit {
+		failure := failed(a.attempt, true, a.watchdog, &LargerError{
+			Limit: limit,
+		})
+		// The upstream lives; it only says too much.
+		failure.Died = false
+		return nil, failure
+	}
 	return buffer.Bytes(), nil
 }
 
