A planned stop answers every request that was let in

Cause: net/http's server answers no request that it reads once Shutdown has begun; it closes the connection. And closing a listener resets what waits in its queue, requests among it.

Ruled out: the queue alone (accepting its whole content before the listener closes left the failure as it was).

Change: Stop closes the listeners first, which accept what still waits, at most as many as the queue holds; keep-alive ends; only when nothing that was let in is unanswered does the library's server shut down. The server's Start ends with Stop, so the rest of the router runs until then.

--- a/lib/hwfront/queue_test.go
+++ b/lib/hwfront/queue_test.go
@@ -24,3 +24,27 @@
 		assert.EqualValues(t, queuedConnections, info.Sacked)
 	}))
 }
+
+// Pattern: a planned stop in a crest. Callers whose connections wait in the queue have sent their requests; all of them are accepted before the listener closes.
+func TestWhatWaitsInTheQueueIsAcceptedBeforeTheListenerCloses(t *testing.T) {
+	listener, err := listen(context.Background(), "127.0.0.1:0")
+	require.NoError(t, err)
+	const callers = 100
+	for range callers {
+		conn, err := net.Dial("tcp4", listener.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: yard.example\r\n\r\n"))
+		require.NoError(t, err)
+	}
+	require.NoError(t, listener.Close())
+	for range callers {
+		conn, err := listener.Accept()
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+	}
+	_, err = listener.Accept()
+	require.ErrorIs(t, err, net.ErrClosed)
+	_, err = net.Dial("tcp4", listener.Addr().String())
+	require.Error(t, err, "nobody is let in any more")
+}
--- a/lib/hwfront/server.go
+++ b/lib/hwfront/server.go
@@ -3,9 +3,9 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,8 +45,14 @@
 	logger   *hwevent.Logger
 	now      func() time.Time
 	servers  []*http.Server
-	// open counts the callers' connections.
-	open atomic.Int64
+	// listening are the servers' listeners.
+	listening []net.Listener
+	// open counts the callers' connections, unanswered those of all listeners that are new or carry a request.
+	open       atomic.Int64
+	unanswered atomic.Int64
+	stopping   atomic.Bool
+	// stopped is closed when Stop has ended.
+	stopped chan struct{}
 }
 
 // New returns a server that does not listen yet.
@@ -56,6 +62,7 @@
 		router:   router,
 		logger:   logger,
 		now:      now,
+		stopped:  make(chan struct{}),
 	}
 }
 
@@ -86,11 +93,15 @@
 			ErrorLog:          hwevent.StandardLogger(s.logger, hwevent.LibraryLine),
 		}
 		s.servers = append(s.servers, server)
+		s.listening = append(s.listening, listener)
 		tasks = append(tasks, hwtask.Start(ctx, func(context.Context) error {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				return trace.Wrap(err)
+			err := server.Serve(listener)
+			if s.stopping.Load() {
+				// What was accepted is still being served.
+				<-s.stopped
+				return nil
 			}
-			return nil
+			return trace.Wrap(err)
 		}))
 	}
 	s.logger.Emit(hwevent.RouterStarted, hwevent.With("instance", s.settings.Instance), hwevent.With("callers", s.settings.Callers))
@@ -110,18 +121,30 @@
 	})
 }
 
-// counter counts the connections of the callers' listener.
-func (s *Server) counter(counts bool) func(net.Conn, http.ConnState) {
-	if !counts {
-		return nil
-	}
-	return func(_ net.Conn, state http.ConnState) {
-		switch state {
-		case http.StateNew:
-			s.open.Add(1)
-		case http.StateClosed, http.StateHijacked:
-			s.open.Add(-1)
-		default:
+// counter follows the states of a listener's connections.
+func (s *Server) counter(callers bool) func(net.Conn, http.ConnState) {
+	var lock sync.Mutex
+	unanswered := map[net.Conn]bool{}
+	return func(conn net.Conn, state http.ConnState) {
+		if callers {
+			switch state {
+			case http.StateNew:
+				s.open.Add(1)
+			case http.StateClosed, http.StateHijacked:
+				s.open.Add(-1)
+			default:
+			}
+		}
+		waits := state == http.StateNew || state == http.StateActive
+		lock.Lock()
+		defer lock.Unlock()
+		switch {
+		case waits && !unanswered[conn]:
+			unanswered[conn] = true
+			s.unanswered.Add(1)
+		case !waits && unanswered[conn]:
+			delete(unanswered, conn)
+			s.unanswered.Add(-1)
 		}
 	}
 }
@@ -154,8 +177,14 @@
 // idlePoll is how often a stopping server looks whether requests are in flight.
 const idlePoll = 50 * time.Millisecond
 
+// silentNew is how long a stopping server waits for the first request of connections that it has just accepted. A caller that sends nothing for longer loses nothing.
+const silentNew = 500 * time.Millisecond
+
 // Stop lets the platform see that the instance is not ready, serves what comes until then, and finishes what is in flight. It is the other half of kratos's server interface.
+//
+// The library's server answers no request that it reads once it shuts down, so before that nothing more is let in and all that was let in is answered.
 func (s *Server) Stop(ctx context.Context) error {
+	defer close(s.stopped)
 	began := s.now()
 	s.router.Stop(began)
 	s.logger.Emit(hwevent.RouterStopping, hwevent.With("instance", s.settings.Instance), hwevent.With("in-flight", s.router.InFlight()))
@@ -164,7 +193,16 @@
 	for ctx.Err() == nil && (s.now().Sub(began) < s.settings.DrainTime || s.router.InFlight() > 0) {
 		hwtask.Pause(ctx, idlePoll)
 	}
+	s.stopping.Store(true)
 	failures := make([]error, 0, len(s.servers))
+	for i, server := range s.servers {
+		failures = append(failures, s.listening[i].Close())
+		server.SetKeepAlivesEnabled(false)
+	}
+	closed := s.now()
+	for ctx.Err() == nil && (s.router.InFlight() > 0 || s.unanswered.Load() > 0 && s.now().Sub(closed) < silentNew) {
+		hwtask.Pause(ctx, idlePoll)
+	}
 	for _, server := range s.servers {
 		if err := server.Shutdown(ctx); err != nil {
 			// What is still in flight is cut: its caller sees that the answer is not whole.
--- a/lib/hwfront/server_test.go
+++ b/lib/hwfront/server_test.go
@@ -67,26 +67,7 @@
 	}))
 	defer upstream.Close()
 	logger := hwevent.New(io.Discard, hwevent.Info)
-	router := hwforward.New(hwforward.Settings{
-		Place:        hwplace.Settings{TokensPerMS: 1, RequestMS: 1},
-		Admit:        hwadmit.Settings{WaitPart: 1, OverSpan: 1},
-		ShareWindow:  time.Second,
-		RetryRefill:  time.Second,
-		KeyFreshness: time.Hour,
-		DrainTime:    time.Hour,
-		BodyTimeout:  time.Second,
-		WriteTimeout: time.Second,
-		Quarantine:   hwquarantine.Settings{Window: time.Minute, Upstreams: 2, Entries: 10},
-	}, hwforward.Dependencies{
-		Edge:   plainEdge{},
-		Links:  hwlink.New(hwlink.Settings{DialTimeout: time.Second, SilenceTimeout: 2 * time.Second}),
-		Logger: logger,
-		Clock: hwforward.Clock{
-			Now:  time.Now,
-			Boot: func() time.Duration { return time.Hour },
-		},
-		Random: rand.NewPCG(1, 1),
-	})
+	router := newRouter(logger)
 	callers, ready, metrics := free(t), free(t), free(t)
 	server := hwfront.New(hwfront.Settings{
 		Callers:         callers,
@@ -125,6 +106,66 @@
 	assert.Zero(t, get(t, "http://"+callers+"/late"))
 }
 
+func newRouter(logger *hwevent.Logger) *hwforward.Router {
+	return hwforward.New(hwforward.Settings{
+		Place:        hwplace.Settings{TokensPerMS: 1, RequestMS: 1},
+		Admit:        hwadmit.Settings{WaitPart: 1, OverSpan: 1},
+		ShareWindow:  time.Second,
+		RetryRefill:  time.Second,
+		KeyFreshness: time.Hour,
+		DrainTime:    time.Hour,
+		BodyTimeout:  time.Second,
+		WriteTimeout: time.Second,
+		Quarantine:   hwquarantine.Settings{Window: time.Minute, Upstreams: 2, Entries: 10},
+	}, hwforward.Dependencies{
+		Edge:   plainEdge{},
+		Links:  hwlink.New(hwlink.Settings{DialTimeout: time.Second, SilenceTimeout: 2 * time.Second}),
+		Logger: logger,
+		Clock: hwforward.Clock{
+			Now:  time.Now,
+			Boot: func() time.Duration { return time.Hour },
+		},
+		Random: rand.NewPCG(1, 1),
+	})
+}
+
+// Pattern: a planned stop in a crest. Requests arrive on new and on kept connections in the very moment in which the listener closes. Each that was let in gets an answer, if only that the instance stops.
+func TestAStopAnswersAllThatWasLetIn(t *testing.T) {
+	for round := range 5 {
+		callers := free(t)
+		logger := hwevent.New(io.Discard, hwevent.Error)
+		server := hwfront.New(hwfront.Settings{
+			Callers:  callers,
+			StopTime: time.Minute,
+		}, newRouter(logger), logger, time.Now)
+		running := hwtask.Start(context.Background(), server.Start)
+		require.Eventually(t, func() bool { return get(t, "http://"+callers+"/") != 0 }, 5*time.Second, time.Millisecond)
+		var conns []net.Conn
+		for range 300 {
+			conn, err := net.Dial("tcp4", callers)
+			require.NoError(t, err)
+			conns = append(conns, conn)
+		}
+		stopping := hwtask.Start(context.Background(), func(ctx context.Context) error {
+			time.Sleep(time.Duration(round) * time.Millisecond)
+			return server.Stop(ctx)
+		})
+		for _, conn := range conns {
+			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: yard.example\r\n\r\n")
+			require.NoError(t, err)
+		}
+		for _, conn := range conns {
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "no table is in force")
+			_ = response.Body.Close()
+			_ = conn.Close()
+		}
+		require.NoError(t, hwtask.Join(stopping, running))
+		assert.Zero(t, get(t, "http://"+callers+"/"))
+	}
+}
+
 // assertConnectionsAreClosedBeyondTheBound asks on more connections than are kept. Pattern: refused callers come again, each time on a new connection.
 func assertConnectionsAreClosedBeyondTheBound(t *testing.T, callers string) {
 	t.Helper()
