Routers tell each other what engines say of their load; what no upstream took is admitted again

Cause: with 78 routers before 156 engines each router sees each engine once in ten seconds. The reading rate was learned from work that peers reported and that had been read meanwhile: 50 tokens a ms believed, some 30 seen.

Ruled out: lost datagrams; own processor time (0.02 cores).

Change: news carry the load that answers told and the upstreams that took no connection; an engine that says it has more than the sums is believed, less and less for a second; two routers that can't connect warn all. The rate is learned from requests with hardly anything ahead. A request that no upstream took is admitted again, like a caller that comes again.

--- a/lib/hwfleet/datagram.go
+++ b/lib/hwfleet/datagram.go
@@ -46,6 +46,20 @@
 			columns.Running = append(columns.Running, uint32(l.Running))
 		}
 	}
+	for name, seen := range news.Seen {
+		columns := pool(name)
+		for _, s := range seen {
+			if s.Unreachable {
+				columns.Unreachable = append(columns.Unreachable, uint32(s.Upstream))
+				columns.UnreachableAges = append(columns.UnreachableAges, milliseconds(s.Age))
+				continue
+			}
+			columns.Seen = append(columns.Seen, uint32(s.Upstream))
+			columns.SeenRunning = append(columns.SeenRunning, uint32(s.Running))
+			columns.SeenWaiting = append(columns.SeenWaiting, uint32(s.Waiting))
+			columns.SeenAges = append(columns.SeenAges, milliseconds(s.Age))
+		}
+	}
 	for _, r := range news.Readings {
 		columns := pool(r.Pool)
 		columns.Readers = append(columns.Readers, uint32(r.Upstream))
@@ -74,6 +88,7 @@
 func newsOf(now time.Time, datagram *hwpeerpb.Datagram) hwforward.News {
 	news := hwforward.News{
 		Loads: map[string][]hwplace.PeerLoad{},
+		Seen:  map[string][]hwplace.Seen{},
 	}
 	for _, pool := range datagram.GetPools() {
 		name, upstreams, tokens, running := pool.GetPool(), pool.GetUpstreams(), pool.GetTokens(), pool.GetRunning()
@@ -84,6 +99,7 @@
 				Running:  int(running[i]),
 			})
 		}
+		news.Seen[name] = seenOf(pool)
 		readers, chains, lengths := pool.GetReaders(), pool.GetChains(), pool.GetLengths()
 		for i := range min(len(readers), len(chains), len(lengths)) {
 			news.Readings = append(news.Readings, hwforward.Reading{
@@ -115,3 +131,31 @@
 	}
 	return news
 }
+
+// seenOf reads what a peer saw of a pool's upstreams.
+func seenOf(pool *hwpeerpb.PoolNews) []hwplace.Seen {
+	var all []hwplace.Seen
+	seen, running, waiting, ages := pool.GetSeen(), pool.GetSeenRunning(), pool.GetSeenWaiting(), pool.GetSeenAges()
+	for i := range min(len(seen), len(running), len(waiting), len(ages)) {
+		all = append(all, hwplace.Seen{
+			Upstream: hwplace.Key(seen[i]),
+			Running:  bounded(running[i]),
+			Waiting:  bounded(waiting[i]),
+			Age:      time.Duration(ages[i]) * time.Millisecond,
+		})
+	}
+	missed, missedAges := pool.GetUnreachable(), pool.GetUnreachableAges()
+	for i := range min(len(missed), len(missedAges)) {
+		all = append(all, hwplace.Seen{
+			Upstream:    hwplace.Key(missed[i]),
+			Unreachable: true,
+			Age:         time.Duration(missedAges[i]) * time.Millisecond,
+		})
+	}
+	return all
+}
+
+// mostCounted bounds counts from peers: no upstream has more requests.
+const mostCounted = 100_000
+
+func bounded(count uint32) int { return int(min(count, mostCounted)) }
--- a/lib/hwforward/news.go
+++ b/lib/hwforward/news.go
@@ -19,6 +19,8 @@
 // News is what a router tells its peers: its present work and its accounts' use as a whole, readings and strikes since it last told them.
 type News struct {
 	Loads map[string][]hwplace.PeerLoad
+	// Seen is what was seen of upstreams, by pool, since it was last told.
+	Seen map[string][]hwplace.Seen
 	// Use is nil when it is not told this time.
 	Use      map[string]hwadmit.Use
 	Readings []Reading
@@ -28,11 +30,12 @@
 // The bounds of what one message tells.
 const (
 	newsReadings = 200
+	newsSeen     = 100
 	newsStrikes  = 20
 )
 
 // useEvery is the time between two tellings of the accounts' use, which is averaged over seconds.
-const useEvery = 300 * time.Millisecond
+const useEvery = 600 * time.Millisecond
 
 // Tell returns the news for the peers and counts them as told. Readings beyond the bound wait for the next time.
 func (r *Router) Tell(now time.Time) News {
@@ -40,6 +43,7 @@
 	defer r.lock.Unlock()
 	told := News{
 		Loads: make(map[string][]hwplace.PeerLoad, len(r.pools)),
+		Seen:  make(map[string][]hwplace.Seen, len(r.pools)),
 	}
 	if now.Sub(r.toldUse) >= useEvery {
 		r.toldUse = now
@@ -49,6 +53,9 @@
 		if loads := p.Loads(); len(loads) > 0 {
 			told.Loads[name] = loads
 		}
+		if seen := p.Seen(now, newsSeen); len(seen) > 0 {
+			told.Seen[name] = seen
+		}
 	}
 	told.Readings, r.news.Readings = cut(r.news.Readings, newsReadings)
 	told.Strikes, r.news.Strikes = cut(r.news.Strikes, newsStrikes)
@@ -72,6 +79,9 @@
 	}
 	for name, p := range r.pools {
 		p.SetPeer(now, peer, news.Loads[name])
+		for _, seen := range news.Seen[name] {
+			p.Heard(now, peer, seen)
+		}
 	}
 	for _, reading := range news.Readings {
 		if p := r.pools[reading.Pool]; p != nil {
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -191,10 +191,15 @@
 		return refuse(hwerror.KindNoUpstream, "the pool has no upstream").WithRetryAfter(noUpstreamRetry)
 	}
 	d.choice = choice
-	if d.sends == 0 {
+	switch {
+	case d.sends == 0:
 		if refusal := d.take(now, pool, ask); refusal != nil {
 			return refusal
 		}
+	case d.ran == 0:
+		if refusal := d.takeAgain(); refusal != nil {
+			return refusal
+		}
 	}
 	d.sends++
 	d.ticket = pool.Begin(now, d.choice, ask)
@@ -251,6 +256,23 @@
 	return nil
 }
 
+// takeAgain decides whether a request that no upstream took so far is still taken. When many upstreams crash or are full at once, what was on its way to them would otherwise pile up at the others without a bound. It is taken like a caller that comes again. The lock must be held.
+func (d *delivery) takeAgain() *hwerror.Refusal {
+	d.wait = d.choice.Wait
+	verdict := d.router.settings.Admit.Decide(hwadmit.Request{
+		Wait:      d.wait,
+		Objective: d.route.Objective,
+		Ratio:     d.ratio,
+		Reading:   d.choice.Reading,
+		Returning: true,
+		Draw:      d.router.random.Float64(),
+	})
+	if verdict.Admitted {
+		return nil
+	}
+	return refuse(hwerror.KindDeadline, "no upstream took the request, and the wait at the next would be too long").WithRetryAfter(verdict.RetryAfter)
+}
+
 // try makes one attempt at the chosen upstream.
 func (d *delivery) try(ctx context.Context) attempt {
 	r := d.router
@@ -279,6 +301,8 @@
 	if failure != nil {
 		if failure.HandedOver {
 			d.ran++
+		} else if ctx.Err() == nil {
+			d.unreachable()
 		}
 		d.finish(ctx, true, failure.Broken && failure.HandedOver)
 		d.excluded = append(d.excluded, d.choice.Upstream.ID)
@@ -413,6 +437,17 @@
 	}
 }
 
+// unreachable notes that the upstream took no connection, for peers too.
+func (d *delivery) unreachable() {
+	r := d.router
+	now := r.clock.Now()
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if p := r.pools[d.pool]; p != nil {
+		p.Unreachable(now, d.choice.Upstream.ID)
+	}
+}
+
 // answered notes the first sign of the run at the upstream.
 func (d *delivery) answered() {
 	r := d.router
--- a/lib/hwplace/member.go
+++ b/lib/hwplace/member.go
@@ -23,6 +23,11 @@
 	// slow is the mean of what the upstream says of its speed, 1 is as usual.
 	slow   float64
 	slowAt time.Time
+	// said is the newest load that it told this router or a peer.
+	said said
+	// blamedBy is the peer that last told that it is unreachable, at blamedAt.
+	blamedBy string
+	blamedAt time.Time
 }
 
 const (
@@ -100,6 +105,8 @@
 const (
 	// rateSample is the smallest work from which the rate is learned, in tokens: short prompts tell more about the constant part.
 	rateSample = 4000
+	// aheadPart is the largest work ahead of a sample, as a part of its own. What peers report may have been read already, and would make the engine look faster than it is.
+	aheadPart = 0.25
 	// rateStep is the part of a sample that is taken over.
 	rateStep = 0.02
 	// firstTokenMS is the part of the time to a first token that does not depend on the work ahead.
@@ -109,9 +116,10 @@
 	rateHigh = 400
 )
 
-func (r *rate) learn(tokens float64, took time.Duration) {
+func (r *rate) learn(own, ahead float64, took time.Duration) {
 	ms := took.Seconds()*1000 - firstTokenMS
-	if tokens < rateSample || ms <= 0 {
+	tokens := own + ahead
+	if tokens < rateSample || ahead > aheadPart*own || ms <= 0 {
 		return
 	}
 	sample := min(rateHigh, max(rateLow, tokens/ms))
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -127,7 +127,11 @@
 	peers map[string]peerReport
 	// elsewhere sums the peers' reports by upstream.
 	elsewhere map[Key]*PeerLoad
-	rate      rate
+	// noted is what peers have not been told yet.
+	noted map[Key]*noted
+	rate  rate
+	// meanTokens is the mean reading of a request.
+	meanTokens float64
 	// requestMS is the learned time of a plain request.
 	requestMS float64
 }
@@ -148,6 +152,7 @@
 		index:     hwprompt.NewIndex(),
 		peers:     map[string]peerReport{},
 		elsewhere: map[Key]*PeerLoad{},
+		noted:     map[Key]*noted{},
 		rate: rate{
 			tokensPerMS: settings.TokensPerMS,
 		},
@@ -319,8 +324,7 @@
 
 // weigh returns what a request would find at an upstream and its score in milliseconds; the lowest score is best.
 func (p *Pool) weigh(now time.Time, m *member, ask Ask, holder *member, held int) (Choice, float64) {
-	other := p.others(m)
-	running := m.running + other.Running
+	running, tokens := p.work(now, m)
 	slots := max(1, m.upstream.Slots)
 	choice := Choice{
 		Upstream: m.upstream,
@@ -350,7 +354,6 @@
 		readMS -= float64(fetched) * (1 - p.settings.FetchPart)
 	}
 	choice.Reading = milliseconds(slow * readMS / p.rate.tokensPerMS)
-	tokens := m.tokens + other.Tokens
 	wait := slow * tokens / p.rate.tokensPerMS
 	// A request that finds no slot waits until one of the running ends.
 	if running >= slots {
--- /dev/null
+++ b/lib/hwplace/seen_test.go
@@ -0,0 +1,90 @@
+package hwplace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+)
+
+// tell passes on what one router saw to another, as datagrams do.
+func tell(now time.Time, from, to *hwplace.Pool, router string) {
+	for _, seen := range from.Seen(now, 100) {
+		to.Heard(now, router, seen)
+	}
+}
+
+// Pattern: many routers send to one engine between two reports, so that none knows of the others' work. What the engine says of its queue in one answer corrects the estimate of all.
+func TestWhatAnEngineSaysOfItsQueueReachesAllRouters(t *testing.T) {
+	here, there := engines(1), engines(1)
+	for i := range uint64(10) {
+		ask := report(i, i)
+		there.Begin(start, choose(t, there, start, ask), ask)
+	}
+	there.Report(start, "engine-0", hwplace.Load{Running: 16, Waiting: 12, Slots: 16})
+	for i := range uint64(50) {
+		// Routers know how much a request reads on average from their own.
+		serve(t, here, start.Add(-time.Second), report(100, 100+i))
+	}
+	assert.Zero(t, choose(t, here, start, report(1, 1)).Wait)
+	tell(start.Add(100*time.Millisecond), there, here, "there")
+	later := start.Add(100 * time.Millisecond)
+	told := choose(t, here, later, report(1, 1)).Wait
+	assert.Greater(t, told, 300*time.Millisecond, "twelve requests wait")
+	assert.Less(t, choose(t, here, later.Add(500*time.Millisecond), report(1, 1)).Wait, told, "what was said counts less and less")
+	assert.Zero(t, choose(t, here, later.Add(time.Second), report(1, 1)).Wait)
+	assert.Empty(t, there.Seen(later, 100), "it is told once")
+}
+
+// What a router sends after a report adds to it, and an older report changes nothing.
+func TestOwnWorkAddsToWhatAnEngineSaid(t *testing.T) {
+	p := engines(1)
+	p.Report(start, "engine-0", hwplace.Load{Running: 16, Waiting: 4, Slots: 16})
+	before := choose(t, p, start, report(1, 1)).Wait
+	ask := report(1, 1)
+	p.Begin(start, choose(t, p, start, ask), ask)
+	after := choose(t, p, start, report(2, 2)).Wait
+	assert.Greater(t, after, before+340*time.Millisecond-time.Millisecond, "17,000 tokens at 50 a millisecond")
+	p.Heard(start, "there", hwplace.Seen{Upstream: hwplace.KeyOf("engine-0"), Age: time.Second})
+	assert.Equal(t, after, choose(t, p, start, report(2, 2)).Wait)
+}
+
+// Pattern: an engine crashes in a large fleet. Two routers that could not connect warn all others, while one that can't connect anywhere, because it is cut off itself, does not.
+func TestUpstreamsThatTwoRoutersMissedAreAvoided(t *testing.T) {
+	trouble := func(p *hwplace.Pool) map[string]float64 {
+		seen := map[string]float64{}
+		for i := range uint64(60) {
+			choice := choose(t, p, start, report(i, i))
+			seen[choice.Upstream.ID] = choice.Trouble
+		}
+		return seen
+	}
+	first, second, here := engines(3), engines(3), engines(3)
+	for _, upstream := range []string{"engine-0", "engine-1", "engine-2"} {
+		first.Unreachable(start, upstream)
+	}
+	tell(start, first, here, "first")
+	tell(start, first, here, "first")
+	assert.Equal(t, map[string]float64{"engine-0": 0, "engine-1": 0, "engine-2": 0}, trouble(here))
+	second.Unreachable(start, "engine-1")
+	tell(start, second, here, "second")
+	assert.NotContains(t, trouble(here), "engine-1", "nothing is sent there")
+	assert.Len(t, trouble(here), 2)
+}
+
+// Pattern: peers report work that has been read meanwhile. An engine does not look faster for it.
+func TestStaleReportsDoNotMakeAnEngineLookFast(t *testing.T) {
+	p := engines(1)
+	for i := range uint64(300) {
+		now := start.Add(time.Duration(i) * time.Second)
+		p.SetPeer(now, "there", []hwplace.PeerLoad{{Upstream: hwplace.KeyOf("engine-0"), Tokens: 50_000, Running: 5}})
+		ask := report(1_000+i, i)
+		ticket := p.Begin(now, choose(t, p, now, ask), ask)
+		p.Answered(now.Add(700*time.Millisecond), ticket)
+		p.Ended(now.Add(time.Second), ticket, false)
+	}
+	tokensPerMS, _ := p.Rate()
+	assert.InDelta(t, 50, tokensPerMS, 1, "nothing is learned from what may have been read before")
+}
--- a/lib/hwplace/ticket.go
+++ b/lib/hwplace/ticket.go
@@ -14,14 +14,16 @@
 	if m == nil {
 		return ticket
 	}
-	ticket.ahead = m.tokens + p.others(m).Tokens
+	_, ticket.ahead = p.work(now, m)
 	if m.waiting == 0 {
 		m.waitingSince = now
 	}
 	m.running++
 	m.waiting++
 	m.tokens += ticket.tokens
+	m.sent(ticket.tokens)
 	if p.engine {
+		p.meanTokens += meanStep * (ticket.tokens - p.meanTokens)
 		p.index.Read(choice.Upstream.ID, ask.Prompt, p.capacity)
 	}
 	return ticket
@@ -40,7 +42,7 @@
 	if t.plainWork {
 		p.requestMS += requestStep * (now.Sub(t.started).Seconds()*1000 - p.requestMS)
 	} else {
-		p.rate.learn(t.tokens+t.ahead, now.Sub(t.started))
+		p.rate.learn(t.tokens, t.ahead, now.Sub(t.started))
 	}
 	if m != nil {
 		m.waiting = max(0, m.waiting-1)
@@ -54,9 +56,14 @@
 
 // Report takes what an upstream said about its load.
 func (p *Pool) Report(now time.Time, upstream string, load Load) {
-	if m := p.members[upstream]; m != nil {
-		m.report(now, load)
+	m := p.members[upstream]
+	if m == nil {
+		return
 	}
+	m.report(now, load)
+	m.hear(now, load.Running, load.Waiting)
+	n := p.note(m)
+	n.load, n.loadAt = load, now
 }
 
 // Ended notes that the request no longer runs. Failed tells that the upstream is to blame.
