--- a/lib/hwforward/crash_test.go
+++ b/lib/hwforward/crash_test.go
@@ -35,3 +35,19 @@
 		assert.Equal(t, http.StatusOK, (<-ended).status)
 	}
 }
+
+// Pattern: the store turns this router away and serves the others. It serves on with what they pass on, but callers are sent elsewhere.
+func TestARouterThatIsCutOffServesOnAndSendsCallersElsewhere(t *testing.T) {
+	w := newWorld(t, good)
+	require.True(t, w.router.Ready(w.clock.now()))
+	w.router.SetCutOff(true)
+	assert.False(t, w.router.Ready(w.clock.now()))
+	assert.Equal(t, http.StatusOK, w.call(http.MethodPost, "/order/1", "x").status)
+	response, err := http.Get(w.front.URL + "/nowhere/")
+	require.NoError(t, err)
+	assert.True(t, response.Close, "the caller is to connect anew")
+	require.NoError(t, response.Body.Close())
+	assert.Contains(t, w.log.String(), "cut-off-changed")
+	w.router.SetCutOff(false)
+	assert.True(t, w.router.Ready(w.clock.now()))
+}
