--- a/lib/hwforward/metrics.go
+++ b/lib/hwforward/metrics.go
@@ -25,6 +25,32 @@
 	total  *hdrhistogram.Histogram
 	waits  *hdrhistogram.Histogram
 	resent *atomic.Int64
+	// estimates compare the estimated waits at engines with those that followed, by the estimate.
+	estimates *[len(estimateSteps) + 1]estimate
+}
+
+// estimateSteps are the bounds between groups of estimated waits, in milliseconds. Most requests find no wait, so quantiles would tell little.
+var estimateSteps = [...]int64{1, 50, 100, 200, 400, 800}
+
+// estimate sums what was estimated and what followed, in milliseconds.
+type estimate struct {
+	count     int64
+	estimated int64
+	seen      int64
+}
+
+// estimated notes how long a request waited that was estimated to wait for a time.
+func (m Metrics) estimated(wait, seen time.Duration) {
+	group, exact := slices.BinarySearch(estimateSteps[:], wait.Milliseconds())
+	if exact {
+		group++
+	}
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	e := &m.estimates[group]
+	e.count++
+	e.estimated += wait.Milliseconds()
+	e.seen += max(0, seen).Milliseconds()
 }
 
 // The range of the histograms in milliseconds and their precision in digits.
@@ -43,6 +69,8 @@
 		total:    histogram(),
 		waits:    histogram(),
 		resent:   &atomic.Int64{},
+
+		estimates: &[len(estimateSteps) + 1]estimate{},
 	}
 }
 
@@ -96,6 +124,15 @@
 		}
 		_, _ = fmt.Fprintf(w, "hickorywick_%s_milliseconds_count %d\n", h.name, h.histogram.TotalCount())
 	}
+	for i, e := range m.estimates {
+		from := int64(0)
+		if i > 0 {
+			from = estimateSteps[i-1]
+		}
+		_, _ = fmt.Fprintf(w, "hickorywick_wait_estimates_total{from_milliseconds=\"%d\"} %d\n", from, e.count)
+		_, _ = fmt.Fprintf(w, "hickorywick_wait_estimated_milliseconds_sum{from_milliseconds=\"%d\"} %d\n", from, e.estimated)
+		_, _ = fmt.Fprintf(w, "hickorywick_wait_seen_milliseconds_sum{from_milliseconds=\"%d\"} %d\n", from, e.seen)
+	}
 	m.lock.Unlock()
 	r.lock.Lock()
 	defer r.lock.Unlock()
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -454,7 +454,11 @@
 	now := r.clock.Now()
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if p := r.pools[d.pool]; p != nil {
-		p.Answered(now, d.ticket)
+	p := r.pools[d.pool]
+	if p == nil {
+		return
+	}
+	if first, took := p.Answered(now, d.ticket); first && p.Engine() {
+		r.metrics.estimated(d.choice.Wait, took-d.choice.Reading-hwplace.FirstToken)
 	}
 }
--- a/lib/hwplace/member.go
+++ b/lib/hwplace/member.go
@@ -109,13 +109,16 @@
 	aheadPart = 0.25
 	// rateStep is the part of a sample that is taken over.
 	rateStep = 0.02
-	// firstTokenMS is the part of the time to a first token that does not depend on the work ahead.
+	// firstTokenMS is FirstToken in milliseconds.
 	firstTokenMS = 100
 	// The learned rate stays within these bounds, in tokens per millisecond.
 	rateLow  = 10
 	rateHigh = 400
 )
 
+// FirstToken is the part of the time to a first token that does not depend on the work ahead.
+const FirstToken = firstTokenMS * time.Millisecond
+
 func (r *rate) learn(own, ahead float64, took time.Duration) {
 	ms := took.Seconds()*1000 - firstTokenMS
 	tokens := own + ahead
--- a/lib/hwplace/ticket.go
+++ b/lib/hwplace/ticket.go
@@ -29,26 +29,28 @@
 	return ticket
 }
 
-// Answered notes a sign of the request's run, an event or its whole answer. The first one says that its prompt has been read.
-func (p *Pool) Answered(now time.Time, t *Ticket) {
+// Answered notes a sign of the request's run, an event or its whole answer. The first one says that its prompt has been read; it returns that it was the first, and how long that took.
+func (p *Pool) Answered(now time.Time, t *Ticket) (first bool, took time.Duration) {
 	m := p.members[t.Upstream]
 	if m != nil {
 		m.progressed = now
 	}
 	if t.answered {
-		return
+		return false, 0
 	}
 	t.answered = true
+	took = now.Sub(t.started)
 	if t.plainWork {
-		p.requestMS += requestStep * (now.Sub(t.started).Seconds()*1000 - p.requestMS)
+		p.requestMS += requestStep * (took.Seconds()*1000 - p.requestMS)
 	} else {
-		p.rate.learn(t.tokens, t.ahead, now.Sub(t.started))
+		p.rate.learn(t.tokens, t.ahead, took)
 	}
 	if m != nil {
 		m.waiting = max(0, m.waiting-1)
 		m.tokens = max(0, m.tokens-t.tokens)
 		m.addTrouble(now, -goodAnswer)
 	}
+	return true, took
 }
 
 // requestStep is the part of a plain request's time that the mean takes over.
