--- a/lib/hwplace/seen_test.go
+++ b/lib/hwplace/seen_test.go
@@ -38,6 +38,18 @@
 	assert.Empty(t, there.Seen(later, 100), "it is told once")
 }
 
+// Pattern: a calm fleet of hundreds. What engines say adds nothing to what routers know, and takes no room in datagrams.
+func TestLoadsThatAreKnownAreNotTold(t *testing.T) {
+	p := engines(1)
+	p.SetPeer(start, "there", []hwplace.PeerLoad{{Upstream: hwplace.KeyOf("engine-0"), Running: 3}})
+	p.Report(start, "engine-0", hwplace.Load{Running: 3, Slots: 16})
+	assert.Empty(t, p.Seen(start, 100))
+	p.Report(start, "engine-0", hwplace.Load{Running: 4, Slots: 16})
+	assert.Len(t, p.Seen(start, 100), 1)
+	p.Report(start, "engine-0", hwplace.Load{Running: 1, Waiting: 1, Slots: 16})
+	assert.Len(t, p.Seen(start, 100), 1)
+}
+
 // What a router sends after a report adds to it, and an older report changes nothing.
 func TestOwnWorkAddsToWhatAnEngineSaid(t *testing.T) {
 	p := engines(1)
--- a/lib/hwplace/ticket.go
+++ b/lib/hwplace/ticket.go
@@ -63,9 +63,12 @@
 		return
 	}
 	m.report(now, load)
+	// What peers know anyway is not told again.
+	if known, _ := p.work(now, m); load.Waiting > 0 || load.Running > known {
+		n := p.note(m)
+		n.load, n.loadAt = load, now
+	}
 	m.hear(now, load.Running, load.Waiting)
-	n := p.note(m)
-	n.load, n.loadAt = load, now
 }
 
 // Ended notes that the request no longer runs. Failed tells that the upstream is to blame.
