A slow store's answers for table and list count as long as before

Cause: found while reading the diff: the new question for the way to the store was to end within its own period, and the bound was put on all questions. Change: each question has its own pace: period, retry, timeout. Figures: TestASlowAnswerCounts fails with the bound on all questions and passes now.

--- a/lib/hwfollow/follow.go
+++ b/lib/hwfollow/follow.go
@@ -58,7 +58,7 @@
 	WayFresh time.Duration
 	// RetryEvery is the time to the next question after a failed one for table or list.
 	RetryEvery time.Duration
-	// Timeout bounds one question.
+	// Timeout bounds one question for table or list, which may take several calls.
 	Timeout time.Duration
 	// Lapse is how long an entry that is missing after an outage of the source counts as lapsed rather than gone: upstreams write theirs again.
 	Lapse time.Duration
@@ -141,33 +141,56 @@
 // Run asks until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	list := hwtask.Start(ctx, func(ctx context.Context) error {
-		return f.repeat(ctx, "list", f.settings.ListEvery, f.settings.RetryEvery, f.askList)
+		return f.repeat(ctx, "list", f.pace(f.settings.ListEvery), f.askList)
 	})
 	table := hwtask.Start(ctx, func(ctx context.Context) error {
-		return f.repeat(ctx, "table", f.settings.TableEvery, f.settings.RetryEvery, f.askTable)
+		return f.repeat(ctx, "table", f.pace(f.settings.TableEvery), f.askTable)
 	})
 	way := hwtask.Start(ctx, func(ctx context.Context) error {
-		return f.repeat(ctx, "way", f.settings.WayEvery, f.settings.WayEvery/2, f.askWay)
+		// It is asked all the time, so each time counts for little.
+		return f.repeat(ctx, "way", pace{
+			every:   f.settings.WayEvery,
+			retry:   f.settings.WayEvery / 2,
+			timeout: min(f.settings.WayEvery, f.settings.Timeout),
+		}, f.askWay)
 	})
 	return hwtask.Join(list, table, way)
 }
 
+// pace is how often a question is asked.
+type pace struct {
+	every time.Duration
+	// retry is the time to the next question after a failed one.
+	retry time.Duration
+	// timeout bounds one question.
+	timeout time.Duration
+}
+
+// pace returns the pace of the questions for table and list.
+func (f *Follower) pace(every time.Duration) pace {
+	return pace{
+		every:   every,
+		retry:   f.settings.RetryEvery,
+		timeout: f.settings.Timeout,
+	}
+}
+
 // repeat asks on a period and logs when the source is lost and regained.
-func (f *Follower) repeat(ctx context.Context, what string, every, retry time.Duration, ask func(context.Context) error) error {
+func (f *Follower) repeat(ctx context.Context, what string, p pace, ask func(context.Context) error) error {
 	var lostAt time.Time
 	for ctx.Err() == nil {
 		began := f.clock.Now()
-		asking, cancel := context.WithTimeout(ctx, min(every, f.settings.Timeout))
+		asking, cancel := context.WithTimeout(ctx, p.timeout)
 		err := ask(asking)
 		cancel()
-		wait := every - f.clock.Now().Sub(began)
+		wait := p.every - f.clock.Now().Sub(began)
 		switch {
 		case err != nil && ctx.Err() == nil:
 			if lostAt.IsZero() {
 				lostAt = began
 				f.logger.Emit(hwevent.StoreUnreachable, hwevent.With("question", what), hwevent.With("cause", err.Error()))
 			}
-			wait = retry
+			wait = p.retry
 		case err == nil && !lostAt.IsZero():
 			f.logger.Emit(hwevent.StoreReachable, hwevent.With("question", what), hwevent.With("lost-ms", f.clock.Now().Sub(lostAt).Milliseconds()))
 			lostAt = time.Time{}
--- a/lib/hwfollow/follow_test.go
+++ b/lib/hwfollow/follow_test.go
@@ -88,7 +88,7 @@
 
 func (lostError) Error() string { return "lost" }
 
-func (s *source) Table(_ context.Context, known int64) (hwfollow.TableAnswer, error) {
+func (s *source) Table(ctx context.Context, known int64) (hwfollow.TableAnswer, error) {
 	s.asked.Add(1)
 	if s.failing.Load() {
 		return hwfollow.TableAnswer{}, lostError{}
@@ -96,6 +96,9 @@
 	if s.before != nil {
 		s.before()
 	}
+	if err := ctx.Err(); err != nil {
+		return hwfollow.TableAnswer{}, err
+	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if s.revision <= known {
@@ -277,6 +280,14 @@
 	}), 5*time.Second, time.Microsecond)
 }
 
+// Pattern: the store is slow. A question may take longer than the time between two of them, and its answer counts.
+func TestASlowAnswerCounts(t *testing.T) {
+	source, sink := &source{revision: 1}, &recorder{}
+	source.before = func() { time.Sleep(100 * time.Millisecond) }
+	run(t, source, sink, func() time.Duration { return time.Hour })
+	require.Eventually(t, sink.see(func(s *recorder) bool { return s.confirmed > 0 && len(s.versions) == 1 }), 5*time.Second, time.Millisecond, "questions are 5 ms apart")
+}
+
 func TestNothingIsConfirmedWhileTheSourceIsAway(t *testing.T) {
 	source, sink := &source{revision: 1}, &recorder{}
 	source.failing.Store(true)
