hwfront: a stopping server accepts its whole queue before it shuts down

Also, the deadline that interrupts Accept could replace the one of the queue's drain, which then ended early. Ruled out: a longer wait for the first request, restarted by each response (4 of 90 failed as before).

--- a/lib/hwfront/listener.go
+++ b/lib/hwfront/listener.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"runtime"
 	"sync/atomic"
 	"time"
@@ -56,7 +58,7 @@
 const notClosed = -1
 
 // emptyQueueTimeout is how long a closed listener waits for a connection before its queue counts as empty. A queued connection is accepted without delay.
-const emptyQueueTimeout = 20 * time.Millisecond
+const emptyQueueTimeout = 50 * time.Millisecond
 
 // NewYieldingListener returns a yielding listener that wraps another one.
 func NewYieldingListener(listener net.Listener) YieldingListener {
@@ -83,14 +85,32 @@
 			return conn, err //nolint:wrapcheck // http.Server checks the error's concrete type.
 		}
 	}
-	if l.remaining.Add(-1) >= 0 && l.Listener.(deadlineSetter).SetDeadline(time.Now().Add(emptyQueueTimeout)) == nil {
-		if conn, err := l.Listener.Accept(); err == nil {
+	if l.remaining.Add(-1) >= 0 {
+		if conn, queued := l.acceptQueued(); queued {
 			return conn, nil
 		}
 	}
 	return nil, trace.NewAggregate(net.ErrClosed, l.Listener.Close())
 }
 
+// acceptQueued returns the next connection of the queue, or false if it is empty.
+func (l YieldingListener) acceptQueued() (net.Conn, bool) {
+	for {
+		deadline := time.Now().Add(emptyQueueTimeout)
+		if l.Listener.(deadlineSetter).SetDeadline(deadline) != nil {
+			return nil, false
+		}
+		conn, err := l.Listener.Accept()
+		if err == nil {
+			return conn, true
+		}
+		// The deadline that Close sets may have replaced this one.
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(deadline) {
+			return nil, false
+		}
+	}
+}
+
 // Close makes Accept close the listener once its queue has been accepted. A listener without deadlines is closed at once.
 func (l YieldingListener) Close() error {
 	listener, ok := l.Listener.(deadlineSetter)
--- a/lib/hwfront/server.go
+++ b/lib/hwfront/server.go
@@ -47,6 +47,8 @@
 	servers  []*http.Server
 	// listeners holds the listener of each entry in servers.
 	listeners []net.Listener
+	// acceptsEnded holds for each entry in servers a channel that is closed when it accepts no more connections.
+	acceptsEnded []<-chan struct{}
 	// clientConnections counts the open client connections.
 	clientConnections atomic.Int64
 	// unansweredConnections counts the connections of all listeners that are new or have a request in progress.
@@ -95,8 +97,11 @@
 		}
 		s.servers = append(s.servers, server)
 		s.listeners = append(s.listeners, listener)
+		acceptEnded := make(chan struct{})
+		s.acceptsEnded = append(s.acceptsEnded, acceptEnded)
 		tasks = append(tasks, hwtask.Start(ctx, func(context.Context) error {
 			err := server.Serve(listener)
+			close(acceptEnded)
 			if s.stopping.Load() {
 				// Accepted requests are still being served until Stop returns.
 				<-s.stopped
@@ -200,6 +205,13 @@
 		failures = append(failures, s.listeners[i].Close())
 		server.SetKeepAlivesEnabled(false)
 	}
+	// Connections that are still queued are not counted as unanswered yet.
+	for _, ended := range s.acceptsEnded {
+		select {
+		case <-ended:
+		case <-ctx.Done():
+		}
+	}
 	closeTime := s.now()
 	for ctx.Err() == nil && (s.router.InFlight() > 0 || s.unansweredConnections.Load() > 0 && s.now().Sub(closeTime) < firstRequestTimeout) {
 		hwtask.Sleep(ctx, drainPollInterval)
