hwplace: time to first token is fitted as an overhead and a time per token

Cause: the prefill rate was computed from elapsed time less a constant overhead of 100 ms. On this load an idle engine needs 9 to 15 ms beside the prefill, so short prompts made the rate look two to three times as high as it is (48 tokens a ms measured as 84 in the test; 150 seen in logs where drafts of 20,000 tokens were read at 45). Waits were underestimated as much, and long prefills of accounts over their share were lent engines for three times the stated limit. Ruled out: a longer admitted wait in return (0.5 and 0.7 of the objective). Change: least squares over recent requests gives overhead and rate; samples faster than the upper bound are dropped.

--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -458,7 +458,8 @@
 	if p == nil {
 		return
 	}
+	overhead := p.FirstTokenOverhead()
 	if first, elapsed := p.RecordProgress(now, e.inFlight); first && p.HasEngines() {
-		r.metrics.recordWaitEstimate(e.choice.QueueWait, elapsed-e.choice.PrefillTime-hwplace.FirstTokenOverhead)
+		r.metrics.recordWaitEstimate(e.choice.QueueWait, elapsed-e.choice.PrefillTime-overhead)
 	}
 }
--- a/lib/hwplace/member.go
+++ b/lib/hwplace/member.go
@@ -100,36 +100,3 @@
 	}
 	s.slowdownAt = now
 }
-
-// prefillRate estimates how many prompt tokens an engine prefills in a millisecond while it also generates.
-type prefillRate struct {
-	tokensPerMS float64
-}
-
-const (
-	// minSampleTokens is the smallest work from which the rate is estimated, in tokens. For short prompts the time depends mostly on the constant overhead.
-	minSampleTokens = 4000
-	// maxAheadRatio is the largest work queued ahead of a sample, as a ratio of the sample's own tokens. Work that peers report may already have been prefilled, and would make the engine look faster than it is.
-	maxAheadRatio = 0.25
-	// rateSmoothing is the weight of a new sample in the moving average.
-	rateSmoothing = 0.02
-	// firstTokenOverheadMS is FirstTokenOverhead in milliseconds.
-	firstTokenOverheadMS = 100
-	// Samples are clamped to these bounds, in tokens per millisecond.
-	minTokensPerMS = 10
-	maxTokensPerMS = 400
-)
-
-// FirstTokenOverhead is the part of the time to first token that depends neither on the queue nor on the length of the prompt.
-const FirstTokenOverhead = firstTokenOverheadMS * time.Millisecond
-
-// addSample updates the rate from a request that prefilled own tokens behind ahead tokens of other work and had its first token after elapsed.
-func (r *prefillRate) addSample(own, ahead float64, elapsed time.Duration) {
-	ms := elapsed.Seconds()*1000 - firstTokenOverheadMS
-	tokens := own + ahead
-	if tokens < minSampleTokens || ahead > maxAheadRatio*own || ms <= 0 {
-		return
-	}
-	sample := min(maxTokensPerMS, max(minTokensPerMS, tokens/ms))
-	r.tokensPerMS += rateSmoothing * (sample - r.tokensPerMS)
-}
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -138,7 +138,7 @@
 	peerLoadSums map[IDHash]*PeerLoad
 	// unsentObservations have not been sent to the peers yet.
 	unsentObservations map[IDHash]*unsentObservation
-	prefillRate        prefillRate
+	prefill            prefillModel
 	// meanPrefillTokens is the moving average of the tokens that a request has to prefill.
 	meanPrefillTokens float64
 	// meanRequestMS is the moving average of the time of a plain service's request.
@@ -163,10 +163,8 @@
 		peerReports:        map[string]peerReport{},
 		peerLoadSums:       map[IDHash]*PeerLoad{},
 		unsentObservations: map[IDHash]*unsentObservation{},
-		prefillRate: prefillRate{
-			tokensPerMS: settings.InitialPrefillTokensPerMS,
-		},
-		meanRequestMS: settings.InitialRequestMS,
+		prefill:            newPrefillModel(settings.InitialPrefillTokensPerMS),
+		meanRequestMS:      settings.InitialRequestMS,
 	}
 }
 
@@ -308,7 +306,7 @@
 			continue
 		}
 		if id == affinity {
-			score -= p.settings.AffinityDiscountRatio * float64(choice.PrefillTokens) / p.prefillRate.tokensPerMS
+			score -= p.settings.AffinityDiscountRatio * float64(choice.PrefillTokens) / p.prefill.tokensPerMS
 		}
 		score += p.jitterRangeMS() * jitter(s.hash, request.Random)
 		if score < lowest {
@@ -364,14 +362,14 @@
 		choice.PrefillTokens -= fetched
 		cost -= float64(fetched) * (1 - p.settings.FetchCostRatio)
 	}
-	choice.PrefillTime = milliseconds(slowdown * cost / p.prefillRate.tokensPerMS)
-	wait := slowdown * tokens / p.prefillRate.tokensPerMS
+	choice.PrefillTime = milliseconds(slowdown * cost / p.prefill.tokensPerMS)
+	wait := slowdown * tokens / p.prefill.tokensPerMS
 	// Without a free slot the request also waits until a running one ends.
 	if running >= slots {
 		wait += slotWaitMS * float64(running-slots+1) / float64(slots)
 	}
 	choice.QueueWait = milliseconds(wait)
-	score += p.settings.LoadWeight*(wait+fullBatchPenaltyMS*float64(running)/float64(slots)) + p.settings.CacheMissWeight*slowdown*cost/p.prefillRate.tokensPerMS
+	score += p.settings.LoadWeight*(wait+fullBatchPenaltyMS*float64(running)/float64(slots)) + p.settings.CacheMissWeight*slowdown*cost/p.prefill.tokensPerMS
 	return choice, score
 }
 
--- a/lib/hwplace/ticket.go
+++ b/lib/hwplace/ticket.go
@@ -43,7 +43,7 @@
 	if r.plainService {
 		p.meanRequestMS += requestSmoothing * (elapsed.Seconds()*1000 - p.meanRequestMS)
 	} else {
-		p.prefillRate.addSample(r.prefillTokens, r.tokensAhead, elapsed)
+		p.prefill.addSample(r.prefillTokens, r.tokensAhead, elapsed)
 	}
 	if s != nil {
 		s.unanswered = max(0, s.unanswered-1)
@@ -91,7 +91,10 @@
 	}
 }
 
+// FirstTokenOverhead returns the estimated part of the time to first token that depends neither on the queue nor on the length of the prompt.
+func (p *Pool) FirstTokenOverhead() time.Duration { return milliseconds(p.prefill.overheadMS) }
+
 // LearnedRates returns the estimated prefill rate in tokens per millisecond and the mean time of a plain service's request in milliseconds.
 func (p *Pool) LearnedRates() (tokensPerMS, requestMS float64) {
-	return p.prefillRate.tokensPerMS, p.meanRequestMS
+	return p.prefill.tokensPerMS, p.meanRequestMS
 }
