--- a/lib/hwevent/catalogue.go
+++ b/lib/hwevent/catalogue.go
@@ -30,6 +30,8 @@
 	UpstreamFailed        = register(1503, Warn, "upstream-failed", "An attempt at an upstream failed.")
 	UpstreamGone          = register(1504, Info, "upstream-gone", "The list of upstreams no longer contains an upstream.")
 	AnswerCrossed         = register(1505, Error, "answer-crossed", "A response carried the ID of another attempt; it was discarded and its connection closed.")
+	CacheListed           = register(1507, Info, "cache-listed", "An engine listed the segments of prompts that it has cached, as this router asked when it started.")
+	CacheNotListed        = register(1508, Warn, "cache-not-listed", "An engine did not list what it has cached; the router learns it from the prompts that it sends there.")
 	RequestQuarantined    = register(1601, Error, "request-quarantined", "A request was in flight at two upstreams when they crashed; it is temporarily rejected.")
 	RequestRefused        = register(1701, Info, "request-refused", "A request was rejected before any byte of it was sent to an upstream.")
 	OutcomeUnknown        = register(1702, Warn, "outcome-unknown", "A request ended without proof of whether it was executed; the response to the caller states this.")
--- a/lib/hwforward/call.go
+++ b/lib/hwforward/call.go
@@ -68,6 +68,14 @@
 	RequestIDHeader() string
 }
 
+// CacheLister translates the query that asks an engine which segments of prompts it has cached.
+type CacheLister interface {
+	// CacheListTarget returns the request target of the query, which is a GET request.
+	CacheListTarget() string
+	// ParseCacheList reads the body of the response.
+	ParseCacheList(body []byte) ([]hwprompt.CachedSegment, error)
+}
+
 // HopByHopHeaders apply to a single connection and are never forwarded.
 var HopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/lib/hwforward/metrics_test.go
+++ b/lib/hwforward/metrics_test.go
@@ -13,7 +13,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hickorywick/hickorywick/lib/hwadmit"
-	"github.com/hickorywick/hickorywick/lib/hwtable"
 )
 
 // metricName matches the name of a metric, without its labels.
@@ -44,13 +43,7 @@
 		respondOK(rw, r)
 	})
 	f.clock.stop()
-	f.router.SetTable(f.clock.now(), hwtable.New(hwtable.Config{
-		Version:  2,
-		Routes:   routes(),
-		Pools:    []hwtable.Pool{{Name: "ledger", Engine: &hwtable.Engine{Slots: 6, CacheTokens: 500_000}}},
-		Accounts: []hwtable.Account{{Name: "harbour", APIKeys: []string{"key"}}},
-	}))
-	f.confirm()
+	f.useEngines()
 	require.Equal(t, http.StatusOK, f.call(http.MethodGet, "/safe/1", "").status)
 	var text strings.Builder
 	f.router.WriteMetrics(&text, f.clock.now())
--- a/lib/hwforward/quarantine.go
+++ b/lib/hwforward/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwevent"
@@ -61,34 +60,6 @@
 	})
 }
 
-// crashChecks are the background checks for crashed upstreams. Finished ones are removed when another one starts; Close waits for the rest.
-type crashChecks struct {
-	lock  sync.Mutex
-	tasks []<-chan error
-}
-
-func (c *crashChecks) start(ctx context.Context, check func(context.Context) error) {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	c.tasks = slices.DeleteFunc(c.tasks, func(task <-chan error) bool {
-		select {
-		case err := <-task:
-			// A check returns no error: an upstream that does not respond is one of its results.
-			return err == nil
-		default:
-			return false
-		}
-	})
-	c.tasks = append(c.tasks, hwtask.Start(ctx, check))
-}
-
-// Close waits for the running checks for crashed upstreams.
-func (r *Router) Close() error {
-	r.crashChecks.lock.Lock()
-	defer r.crashChecks.lock.Unlock()
-	return hwtask.Join(r.crashChecks.tasks...)
-}
-
 // confirmCrash turns the recent suspects of a crashed upstream into crash reports. The lock must be held.
 func (r *Router) confirmCrash(now time.Time, upstream string) {
 	var reports []hwquarantine.CrashReport
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -51,11 +51,13 @@
 
 // Dependencies are the collaborators of a Router.
 type Dependencies struct {
-	Protocol  Protocol
-	Transport *hwlink.Transport
-	Logger    *hwevent.Logger
-	Clock     Clock
-	Random    rand.Source
+	Protocol Protocol
+	// CacheLister is nil if engines can't be asked for the contents of their caches.
+	CacheLister CacheLister
+	Transport   *hwlink.Transport
+	Logger      *hwevent.Logger
+	Clock       Clock
+	Random      rand.Source
 }
 
 // tableConfirmation is the last time at which the active table was known to be the newest, on both clocks.
@@ -68,11 +70,13 @@
 type Router struct {
 	settings    Settings
 	protocol    Protocol
+	cacheLister CacheLister
 	transport   *hwlink.Transport
 	logger      *hwevent.Logger
 	clock       Clock
 	metrics     Metrics
-	crashChecks crashChecks
+	crashChecks backgroundTasks
+	cacheLists  backgroundTasks
 
 	table     atomic.Pointer[hwtable.Table]
 	confirmed atomic.Pointer[tableConfirmation]
@@ -92,6 +96,8 @@
 	quarantine    *hwquarantine.CrashTracker
 	// upstreams is the current list of upstreams by pool.
 	upstreams map[string][]hwplace.Upstream
+	// cachesListed contains the pools whose engines were asked for the contents of their caches.
+	cachesListed map[string]bool
 	// crashSuspects are requests that were in flight at an upstream when its connection failed.
 	crashSuspects []crashSuspect
 	// pendingUpdate is what has not been sent to the peers yet; usageSentAt is when the accounts' usage was last sent.
@@ -107,6 +113,7 @@
 			limit: settings.BodyMemoryLimit,
 		},
 		protocol:      dependencies.Protocol,
+		cacheLister:   dependencies.CacheLister,
 		transport:     dependencies.Transport,
 		logger:        dependencies.Logger,
 		clock:         dependencies.Clock,
@@ -117,6 +124,7 @@
 		retryDetector: hwadmit.NewRetryDetector(),
 		quarantine:    hwquarantine.New(settings.Quarantine),
 		upstreams:     map[string][]hwplace.Upstream{},
+		cachesListed:  map[string]bool{},
 		metrics:       newMetrics(),
 	}
 }
@@ -134,6 +142,7 @@
 		// What was learned about a plain service does not apply to an engine.
 		if config, found := table.Pool(name); found && p.HasEngines() != (config.Engine != nil) {
 			delete(r.pools, name)
+			delete(r.cachesListed, name)
 		}
 	}
 	for name, list := range r.upstreams {
@@ -202,6 +211,7 @@
 		return
 	}
 	added, removed, draining := p.SetUpstreams(list)
+	r.listCaches(name, p, list)
 	for _, id := range added {
 		r.logger.Emit(hwevent.UpstreamListed, hwevent.With("upstream", id), hwevent.With("pool", name))
 	}
--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -20,6 +20,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwforward"
 	"github.com/hickorywick/hickorywick/lib/hwlink"
 	"github.com/hickorywick/hickorywick/lib/hwplace"
+	"github.com/hickorywick/hickorywick/lib/hwprompt"
 	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 	"github.com/hickorywick/hickorywick/lib/hwtable"
 )
@@ -29,10 +30,35 @@
 
 func (testProtocol) RequestIDHeader() string { return "X-Id" }
 
+// promptParts returns a single segment with the tokens of the X-Tokens header.
+func promptParts(r *http.Request) []hwprompt.Segment {
+	tokens, err := strconv.Atoi(r.Header.Get("X-Tokens"))
+	if err != nil {
+		return nil
+	}
+	return []hwprompt.Segment{{ID: 1, Tokens: tokens}}
+}
+
+// cacheListPath is the path of queries for cached segments.
+const cacheListPath = "/cached"
+
+func (testProtocol) CacheListTarget() string { return cacheListPath }
+
+// ParseCacheList reads the number of tokens of the only segment.
+func (testProtocol) ParseCacheList(body []byte) ([]hwprompt.CachedSegment, error) {
+	tokens, err := strconv.Atoi(string(body))
+	if err != nil {
+		return nil, err
+	}
+	return []hwprompt.CachedSegment{{Model: "m", Segment: hwprompt.Segment{ID: 1, Tokens: tokens}}}, nil
+}
+
 func (testProtocol) ParseRequest(r *http.Request) hwforward.RequestInfo {
 	left, _ := strconv.Atoi(r.Header.Get("X-Left"))
 	return hwforward.RequestInfo{
 		ID:            r.Header.Get("X-Id"),
+		Model:         "m",
+		PromptParts:   promptParts(r),
 		APIKey:        r.Header.Get("X-Key"),
 		ClientTimeout: time.Duration(left) * time.Millisecond,
 		LastEventID:   r.Header.Get("Last-Event-Id"),
@@ -104,6 +130,10 @@
 	// requestCounts are the numbers of requests that reached each upstream.
 	requestCounts []*atomic.Int32
 	upstreams     []*httptest.Server
+	list          []hwplace.Upstream
+	// cacheList is what every upstream answers to queries for cached segments, and cacheQueries counts them.
+	cacheList    string
+	cacheQueries atomic.Int32
 }
 
 type lockedBuffer struct {
@@ -208,9 +238,10 @@
 	}
 	change(&chosen)
 	f.router = hwforward.New(chosen, hwforward.Dependencies{
-		Protocol:  testProtocol{},
-		Transport: f.transport,
-		Logger:    hwevent.New(f.log, hwevent.Info),
+		Protocol:    testProtocol{},
+		CacheLister: testProtocol{},
+		Transport:   f.transport,
+		Logger:      hwevent.New(f.log, hwevent.Info),
 		Clock: hwforward.Clock{
 			Now:      f.clock.now,
 			BootTime: f.clock.bootTime,
@@ -223,6 +254,11 @@
 	for i, handler := range handlers {
 		count := &atomic.Int32{}
 		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == cacheListPath {
+				f.cacheQueries.Add(1)
+				_, _ = io.WriteString(rw, f.cacheList)
+				return
+			}
 			count.Add(1)
 			handler(rw, r)
 		}))
@@ -236,6 +272,7 @@
 			Slots:   6,
 		})
 	}
+	f.list = list
 	f.router.SetUpstreams(f.clock.now(), list)
 	f.front = httptest.NewServer(f.router)
 	t.Cleanup(f.front.Close)
--- a/lib/hwplace/place_test.go
+++ b/lib/hwplace/place_test.go
@@ -258,3 +258,21 @@
 	assert.Equal(t, 4_000, choice.PrefillTokens)
 	assert.Equal(t, time.Duration(4_000+0.35*13_000)*time.Millisecond/50, choice.PrefillTime)
 }
+
+// All routers lose power and restart, while the engines keep their caches. A restarted router that asks the engines sends each prompt to where it is cached, and estimates the wait from what is left to prefill. Without the lists every document would count as uncached.
+func TestRestartedRouterUsesWhatEnginesHaveCached(t *testing.T) {
+	p := enginePool(4)
+	const documents = 12
+	for i := range uint64(documents) {
+		p.RecordCacheList("engine-"+strconv.Itoa(int(i)%4), []hwprompt.CachedSegment{
+			{Model: "m", Segment: hwprompt.Segment{ID: i, Tokens: 13_000}},
+		})
+	}
+	for i := range uint64(documents) {
+		choice := choose(t, p, start, documentRequest(i, i))
+		assert.Equal(t, "engine-"+strconv.Itoa(int(i)%4), choice.Upstream.ID)
+		assert.Equal(t, 4_000, choice.PrefillTokens)
+		assert.Empty(t, choice.FetchFrom)
+	}
+	p.RecordCacheList("unlisted", []hwprompt.CachedSegment{{Model: "m", Segment: hwprompt.Segment{ID: 1, Tokens: 1}}})
+}
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -290,6 +290,13 @@
 	}
 }
 
+// RecordCacheList records the segments that an upstream states it has cached.
+func (p *Pool) RecordCacheList(upstream string, segments []hwprompt.CachedSegment) {
+	if p.upstreams[upstream] != nil {
+		p.cacheIndex.AddListed(upstream, segments, p.cacheCapacity)
+	}
+}
+
 // Choose returns the upstream with the lowest score for a request, or false when no upstream is eligible.
 func (p *Pool) Choose(now time.Time, request Request) (Choice, bool) {
 	p.expirePeerReports(now)
--- a/lib/hwprompt/index.go
+++ b/lib/hwprompt/index.go
@@ -20,6 +20,8 @@
 type ChainedSegment struct {
 	// PrefixHash is the hash of the model and of all segments up to and including this one.
 	PrefixHash uint64
+	// ContentHash is the hash of the model and of this segment alone, by which engines list what they have cached.
+	ContentHash uint64
 	// Tokens is the length of this segment alone.
 	Tokens int
 }
@@ -36,14 +38,16 @@
 		segments: make([]ChainedSegment, 0, len(segments)),
 		tokens:   tokens,
 	}
-	hash := xxhash.Sum64String(model)
+	modelHash := xxhash.Sum64String(model)
+	hash := modelHash
 	sum := 0
 	for _, segment := range segments {
 		hash = mix(hash, segment.ID)
 		sum += segment.Tokens
 		p.segments = append(p.segments, ChainedSegment{
-			PrefixHash: hash,
-			Tokens:     segment.Tokens,
+			PrefixHash:  hash,
+			ContentHash: mix(modelHash, segment.ID),
+			Tokens:      segment.Tokens,
 		})
 	}
 	p.tokens = max(tokens, sum)
@@ -78,15 +82,15 @@
 
 // cachedSegment is an element of a cache's recency list.
 type cachedSegment struct {
-	prefixHash uint64
-	tokens     int
+	hash   uint64
+	tokens int
 }
 
 // cache is the estimated content of one upstream's prefix cache.
 type cache struct {
 	// recency has the most recently used segment at its front.
 	recency *list.List
-	// segments is keyed by prefix hash.
+	// segments is keyed by prefix hash, or by content hash for segments that the engine itself has listed.
 	segments map[uint64]*list.Element
 	// tokens is the sum over all segments.
 	tokens int
@@ -111,8 +115,29 @@
 	}
 }
 
-// AddSegment records that an upstream has used a segment, and evicts the least recently used ones beyond the capacity in tokens.
+// AddSegment records that an upstream has used a segment. Capacity is the size of its prefix cache in tokens.
 func (x *CacheIndex) AddSegment(upstream string, segment ChainedSegment, capacity int) {
+	c := x.cache(upstream)
+	c.remove(segment.ContentHash)
+	c.add(segment.PrefixHash, segment.Tokens, capacity)
+}
+
+// CachedSegment is a segment of a model's prompts that an engine itself states it has cached.
+type CachedSegment struct {
+	Model string
+	Segment
+}
+
+// AddListed records the segments that an upstream states it has cached. They are evicted like those of prompts that were sent there.
+func (x *CacheIndex) AddListed(upstream string, segments []CachedSegment, capacity int) {
+	c := x.cache(upstream)
+	for _, segment := range segments {
+		c.add(mix(xxhash.Sum64String(segment.Model), segment.ID), segment.Tokens, capacity)
+	}
+}
+
+// cache returns the estimated content of an upstream's prefix cache, and creates it on first use.
+func (x *CacheIndex) cache(upstream string) *cache {
 	c := x.caches[upstream]
 	if c == nil {
 		c = &cache{
@@ -121,20 +146,39 @@
 		}
 		x.caches[upstream] = c
 	}
-	if element, found := c.segments[segment.PrefixHash]; found {
+	return c
+}
+
+// add makes a segment the most recently used one, and evicts the least recently used ones beyond the capacity in tokens.
+func (c *cache) add(hash uint64, tokens, capacity int) {
+	if element, found := c.segments[hash]; found {
 		c.recency.MoveToFront(element)
 		return
 	}
-	c.segments[segment.PrefixHash] = c.recency.PushFront(cachedSegment{
-		prefixHash: segment.PrefixHash,
-		tokens:     segment.Tokens,
+	c.segments[hash] = c.recency.PushFront(cachedSegment{
+		hash:   hash,
+		tokens: tokens,
 	})
-	c.tokens += segment.Tokens
+	c.tokens += tokens
 	for c.tokens > capacity && c.recency.Len() > 1 {
-		oldest := c.recency.Remove(c.recency.Back()).(cachedSegment)
-		delete(c.segments, oldest.prefixHash)
-		c.tokens -= oldest.tokens
+		c.remove(c.recency.Back().Value.(cachedSegment).hash)
+	}
+}
+
+func (c *cache) remove(hash uint64) {
+	element, found := c.segments[hash]
+	if !found {
+		return
 	}
+	delete(c.segments, hash)
+	c.tokens -= c.recency.Remove(element).(cachedSegment).tokens
+}
+
+// holds reports whether a segment is cached, provided that all segments before it are.
+func (c *cache) holds(segment ChainedSegment) bool {
+	_, used := c.segments[segment.PrefixHash]
+	_, listed := c.segments[segment.ContentHash]
+	return used || listed
 }
 
 // CachedTokens returns the length of the longest prefix of a prompt that an upstream is estimated to have cached.
@@ -145,7 +189,7 @@
 	}
 	sum := 0
 	for _, segment := range prompt.segments {
-		if _, found := c.segments[segment.PrefixHash]; !found {
+		if !c.holds(segment) {
 			break
 		}
 		sum += segment.Tokens
--- a/lib/hwprompt/index_test.go
+++ b/lib/hwprompt/index_test.go
@@ -49,6 +49,30 @@
 	}
 }
 
+// Engines list segments by their contents, in no particular order and without their prefixes.
+func TestListedSegmentsCountBehindCachedOnes(t *testing.T) {
+	index := hwprompt.NewCacheIndex()
+	listed := func(model string, ids ...uint64) []hwprompt.CachedSegment {
+		list := make([]hwprompt.CachedSegment, 0, len(ids))
+		for _, segment := range segments(ids...) {
+			list = append(list, hwprompt.CachedSegment{Model: model, Segment: segment})
+		}
+		return list
+	}
+	index.AddListed("e", listed("m", 3, 2), 10_000)
+	prompt := hwprompt.New("m", 0, segments(1, 2, 3))
+	assert.Zero(t, index.CachedTokens("e", prompt), "the first segment is missing")
+	index.AddPrompt("e", hwprompt.New("m", 0, segments(1)), 10_000)
+	assert.Equal(t, 300, index.CachedTokens("e", prompt))
+	assert.Equal(t, 100, index.CachedTokens("e", hwprompt.New("m", 0, segments(1, 4))))
+	assert.Zero(t, index.CachedTokens("e", hwprompt.New("n", 0, segments(2, 3))), "another model")
+
+	index.AddPrompt("e", prompt, 300)
+	assert.Equal(t, 300, index.CachedTokens("e", prompt), "a listed segment that a prompt uses is not counted twice")
+	index.AddListed("e", listed("m", 7), 300)
+	assert.Zero(t, index.CachedTokens("e", prompt), "the least recently used segment is evicted")
+}
+
 func TestSharedPrefixExcludesTheLastSegment(t *testing.T) {
 	first, _ := hwprompt.New("m", 0, segments(1, 2, 8)).SharedPrefix()
 	second, _ := hwprompt.New("m", 0, segments(1, 2, 9)).SharedPrefix()
