hwadmit: accounts within their share wait up to twice as long, without guessing who retries

Cause: the detector of retries compared a caller's timeout with the longest one seen on its route. Change: the detector is removed. The wait is doubled for an account that has used nothing of its share and while the throughput covers all demand, and falls linearly to the plain limit at the share. A request that no upstream took is admitted again by the same rule.

--- a/lib/hwadmit/admit.go
+++ b/lib/hwadmit/admit.go
@@ -6,12 +6,10 @@
 type Settings struct {
 	// MaxWaitRatio is the longest queue wait with which a request of an account exactly at its fair share is admitted, as a ratio of the latency objective.
 	MaxWaitRatio float64
-	// UnusedShareFactor multiplies that wait for an account that has used nothing of its share, OverShareFactor for one that has exceeded its share by OverShareRange or more, as a ratio of the share. In between the factor is interpolated linearly; it is 1 for an account at its share.
+	// UnusedShareFactor multiplies that wait for an account that has used nothing of its share and for all accounts while the throughput covers all demand, OverShareFactor for one that has exceeded its share by OverShareRange or more, as a ratio of the share. In between the factor is interpolated linearly; it is 1 for an account at its share.
 	UnusedShareFactor float64
 	OverShareFactor   float64
 	OverShareRange    float64
-	// RetryWaitFactor multiplies that wait for a caller within its account's share that retries after a refusal, because callers rarely try a third time.
-	RetryWaitFactor float64
 	// OverSharePrefillRatio is the longest prefill that is admitted for an account over its share by OverShareRange or more, as a ratio of the latency objective. A running prefill can't be preempted, so the requests of other accounts would wait that long.
 	OverSharePrefillRatio float64
 	// MinRetryAfter is the shortest time after which a refused caller may retry.
@@ -30,8 +28,6 @@
 	ShareUsage float64
 	// PrefillTime is how long the request would occupy the upstream before its first token.
 	PrefillTime time.Duration
-	// LikelyRetry means that the caller was probably refused before.
-	LikelyRetry bool
 	// Random is a random number in [0, 1) for the jitter.
 	Random float64
 }
@@ -50,18 +46,12 @@
 	ratio := s.MaxWaitRatio
 	// excess is how far the account exceeds its share, as a ratio of OverShareRange and at most 1.
 	excess := 0.0
-	switch {
-	case r.ShareUsage <= 0:
-		// The throughput covers all demand, or the account has used nothing of its share.
-	case r.ShareUsage < 1:
+	if r.ShareUsage < 1 {
 		ratio *= s.UnusedShareFactor + (1-s.UnusedShareFactor)*r.ShareUsage
-	default:
+	} else {
 		excess = min(1, (r.ShareUsage-1)/s.OverShareRange)
 		ratio *= 1 - (1-s.OverShareFactor)*excess
 	}
-	if r.LikelyRetry && excess == 0 {
-		ratio *= s.RetryWaitFactor
-	}
 	maxWait := time.Duration(ratio * float64(r.LatencyObjective))
 	prefill := excess * float64(r.PrefillTime)
 	if r.QueueWait <= maxWait && prefill <= s.OverSharePrefillRatio*float64(r.LatencyObjective) {
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -87,13 +87,12 @@
 	inFlight   atomic.Int64
 	bodyMemory memoryLimiter
 
-	lock          sync.Mutex
-	random        *rand.Rand
-	pools         map[string]*hwplace.Pool
-	retryBudgets  map[string]*hwretry.Budget
-	shares        *hwadmit.FairShares
-	retryDetector *hwadmit.RetryDetector
-	quarantine    *hwquarantine.CrashTracker
+	lock         sync.Mutex
+	random       *rand.Rand
+	pools        map[string]*hwplace.Pool
+	retryBudgets map[string]*hwretry.Budget
+	shares       *hwadmit.FairShares
+	quarantine   *hwquarantine.CrashTracker
 	// upstreams is the current list of upstreams by pool.
 	upstreams map[string][]hwplace.Upstream
 	// cachesListed contains the pools whose engines were asked for the contents of their caches.
@@ -112,20 +111,19 @@
 		bodyMemory: memoryLimiter{
 			limit: settings.BodyMemoryLimit,
 		},
-		protocol:      dependencies.Protocol,
-		cacheLister:   dependencies.CacheLister,
-		transport:     dependencies.Transport,
-		logger:        dependencies.Logger,
-		clock:         dependencies.Clock,
-		random:        rand.New(dependencies.Random),
-		pools:         map[string]*hwplace.Pool{},
-		retryBudgets:  map[string]*hwretry.Budget{},
-		shares:        hwadmit.NewFairShares(settings.ShareWindow),
-		retryDetector: hwadmit.NewRetryDetector(),
-		quarantine:    hwquarantine.New(settings.Quarantine),
-		upstreams:     map[string][]hwplace.Upstream{},
-		cachesListed:  map[string]bool{},
-		metrics:       newMetrics(),
+		protocol:     dependencies.Protocol,
+		cacheLister:  dependencies.CacheLister,
+		transport:    dependencies.Transport,
+		logger:       dependencies.Logger,
+		clock:        dependencies.Clock,
+		random:       rand.New(dependencies.Random),
+		pools:        map[string]*hwplace.Pool{},
+		retryBudgets: map[string]*hwretry.Budget{},
+		shares:       hwadmit.NewFairShares(settings.ShareWindow),
+		quarantine:   hwquarantine.New(settings.Quarantine),
+		upstreams:    map[string][]hwplace.Upstream{},
+		cachesListed: map[string]bool{},
+		metrics:      newMetrics(),
 	}
 }
 
@@ -137,7 +135,6 @@
 		return false
 	}
 	r.table.Store(table)
-	r.retryDetector.Retain(table.HasRoute)
 	for name, p := range r.pools {
 		// What was learned about a plain service does not apply to an engine.
 		if config, found := table.Pool(name); found && p.HasEngines() != (config.Engine != nil) {
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -224,13 +224,11 @@
 		e.shareUsage = r.shares.ShareUsage(now, e.account, r.table.Load().Limits().FleetTokensPerSecond)
 	}
 	e.queueWait = e.choice.QueueWait
-	e.likelyRetry = r.retryDetector.LikelyRetry(now, e.route.Name, e.info.ClientTimeout)
 	decision := r.settings.Admission.Decide(hwadmit.Request{
 		QueueWait:        e.queueWait,
 		LatencyObjective: e.route.LatencyObjective,
 		ShareUsage:       e.shareUsage,
 		PrefillTime:      e.choice.PrefillTime,
-		LikelyRetry:      e.likelyRetry,
 		Random:           r.random.Float64(),
 	})
 	if !decision.Admitted {
@@ -238,14 +236,13 @@
 		if e.queueWait <= decision.MaxWait {
 			reason = "the account is over its share and idle capacity is not lent for that long"
 		}
-		refusal := newRefusal(hwerror.KindDeadlineCannotBeMet, reason).WithRetryAfter(decision.RetryAfter)
 		if !metered || !r.shares.Underserved(now, e.account, r.table.Load().Limits().FleetTokensPerSecond) {
-			return refusal
+			return newRefusal(hwerror.KindDeadlineCannotBeMet, reason).WithRetryAfter(decision.RetryAfter)
 		}
 		query.MaxWait = r.settings.Admission.FairShareMaxWait(e.route.LatencyObjective)
 		alternative, found := pool.Choose(now, query)
 		if !found {
-			return refusal
+			return newRefusal(hwerror.KindDeadlineCannotBeMet, reason).WithRetryAfter(decision.RetryAfter)
 		}
 		e.choice = alternative
 		e.queueWait = alternative.QueueWait
@@ -256,7 +253,7 @@
 	return nil
 }
 
-// readmit repeats the admission decision for a request that no upstream has executed yet. Otherwise, if many upstreams crash or are full at the same time, their requests would queue at the other upstreams without a limit. The request is treated like a client's retry. The lock must be held.
+// readmit repeats the admission decision for a request that no upstream has executed yet. Otherwise, if many upstreams crash or are full at the same time, their requests would queue at the other upstreams without a limit. The lock must be held.
 func (e *exchange) readmit() *hwerror.RequestError {
 	e.queueWait = e.choice.QueueWait
 	decision := e.router.settings.Admission.Decide(hwadmit.Request{
@@ -264,7 +261,6 @@
 		LatencyObjective: e.route.LatencyObjective,
 		ShareUsage:       e.shareUsage,
 		PrefillTime:      e.choice.PrefillTime,
-		LikelyRetry:      true,
 		Random:           e.router.random.Float64(),
 	})
 	if decision.Admitted {
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -53,10 +53,9 @@
 	firstByteAt time.Time
 	// writeDeadlineSetAt is when the write deadline of a stream was last extended.
 	writeDeadlineSetAt time.Time
-	// queueWait, shareUsage and likelyRetry are inputs of the admission decision.
-	queueWait   time.Duration
-	shareUsage  float64
-	likelyRetry bool
+	// queueWait and shareUsage are inputs of the admission decision.
+	queueWait  time.Duration
+	shareUsage float64
 	// reservedBytes is the memory that is reserved for the bodies of this exchange, in bytes.
 	reservedBytes int64
 }
@@ -282,7 +281,6 @@
 			hwevent.With("execution", string(failure.Execution)),
 			hwevent.With("reason", failure.Message),
 			hwevent.With("reading-ms", e.choice.PrefillTime.Milliseconds()),
-			hwevent.With("returning", e.likelyRetry),
 			hwevent.With("table-version", r.tableVersion()),
 			hwevent.With("table-age-ms", r.TableAge().Milliseconds()),
 		)
--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -217,8 +217,9 @@
 			InitialRequestMS:          10,
 		},
 		Admission: hwadmit.Settings{
-			MaxWaitRatio:   0.5,
-			OverShareRange: 1,
+			MaxWaitRatio:      0.5,
+			UnusedShareFactor: 1,
+			OverShareRange:    1,
 		},
 		ShareWindow:       time.Second,
 		RetryRatio:        0.1,
--- a/lib/hwtable/table.go
+++ b/lib/hwtable/table.go
@@ -95,7 +95,6 @@
 	routesByHost  map[string][]Route
 	pools         map[string]Pool
 	accountsByKey map[string]Account
-	routeNames    map[string]bool
 	// requiresKeys is false for a table without accounts, which serves all routes without a key.
 	requiresKeys bool
 }
@@ -108,12 +107,10 @@
 		routesByHost:  map[string][]Route{},
 		pools:         map[string]Pool{},
 		accountsByKey: map[string]Account{},
-		routeNames:    map[string]bool{},
 		requiresKeys:  len(c.Accounts) > 0,
 	}
 	for _, r := range c.Routes {
 		t.routesByHost[r.Host] = append(t.routesByHost[r.Host], r)
-		t.routeNames[r.Name] = true
 	}
 	// The longest prefix comes first, so that the first match is the longest.
 	for _, routes := range t.routesByHost {
@@ -155,9 +152,6 @@
 	return Route{}, false
 }
 
-// HasRoute reports whether a route with the given name exists.
-func (t *Table) HasRoute(route string) bool { return t.routeNames[route] }
-
 // RequiresKey reports whether requests for a route need an API key.
 func (t *Table) RequiresKey(r Route) bool { return t.requiresKeys && !r.Public }
 
