hwforward: refused callers within their share return as capacity becomes free

Cause: a refused caller was told the excess wait plus up to 400 ms, whatever had been promised to others. Change: each pool has a schedule. A refusal reserves the time of its prefill in half of the capacity, divided by the routers that report usage; the next is told a later time. Accounts over their share are told what they were told before.

--- a/lib/hwadmit/admit_test.go
+++ b/lib/hwadmit/admit_test.go
@@ -177,3 +177,33 @@
 	request.ShareUsage = 0
 	assert.False(t, settings.Decide(request).Admitted)
 }
+
+// All routers restart in the middle of a crest, and 300 callers are refused within a tenth of a second. Their retries must not exceed the capacity that is planned for them, in any second.
+func TestRefusedCallersReturnAsCapacityBecomesFree(t *testing.T) {
+	var returns hwadmit.ReturnSchedule
+	const (
+		callers = 300
+		cost    = 30 * time.Millisecond
+	)
+	perSecond := map[time.Duration]int{}
+	for i := range callers {
+		now := start.Add(time.Duration(i) * 300 * time.Microsecond)
+		at := returns.Reserve(now.Add(200*time.Millisecond), now.Add(20*time.Second), cost)
+		assert.False(t, at.Before(now.Add(200*time.Millisecond)))
+		perSecond[at.Sub(start).Truncate(time.Second)]++
+	}
+	assert.Len(t, perSecond, 10, "300 callers, 33 a second")
+	for second, count := range perSecond {
+		assert.LessOrEqual(t, count, 34, second)
+	}
+}
+
+// A caller that can't wait until there is room for it takes no place of one that can.
+func TestCallersWithoutTimeReserveNothing(t *testing.T) {
+	var returns hwadmit.ReturnSchedule
+	returns.Reserve(start, start.Add(time.Minute), 3*time.Second)
+	assert.Equal(t, start.Add(time.Second), returns.Reserve(start, start.Add(time.Second), time.Second))
+	assert.Equal(t, start.Add(2*time.Second), returns.Reserve(start.Add(2*time.Second), start.Add(time.Second), time.Second), "never sooner than the earliest time")
+	assert.Equal(t, start.Add(3*time.Second), returns.Reserve(start, start.Add(time.Minute), time.Second))
+	assert.Equal(t, start.Add(time.Minute), returns.Reserve(start.Add(time.Minute), start.Add(2*time.Minute), time.Second), "unused time does not accumulate")
+}
--- a/lib/hwadmit/shares.go
+++ b/lib/hwadmit/shares.go
@@ -127,6 +127,17 @@
 	return sum
 }
 
+// ReportingRouters returns the number of routers with a current usage report, including this one.
+func (s *FairShares) ReportingRouters(now time.Time) int {
+	count := 1
+	for _, report := range s.peerReports {
+		if now.Sub(report.receivedAt) <= peerReportMaxAge {
+			count++
+		}
+	}
+	return count
+}
+
 // MaxMinFairRate returns the rate up to which each account is served when they share a throughput max-min fairly. It is infinite when the throughput covers all demands. The demands are sorted in place.
 func MaxMinFairRate(throughput float64, demands []float64) float64 {
 	slices.Sort(demands)
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -26,6 +26,8 @@
 	RetryReserve float64
 	// RetryRefillTime is the time in which an empty reserve refills. It must be longer than the window in which attempts are counted, so that no window contains two full reserves.
 	RetryRefillTime time.Duration
+	// MaxRetryAfterRatio is the longest Retry-After that clients honor, as a ratio of the time that they have left.
+	MaxRetryAfterRatio float64
 	// KeyMaxStaleness is the maximum age of the table's last confirmation at which requests with a key are served. TableMaxStaleness is the maximum age at which the table is trusted to show that a route or key does not exist.
 	KeyMaxStaleness   time.Duration
 	TableMaxStaleness time.Duration
@@ -92,7 +94,9 @@
 	pools        map[string]*hwplace.Pool
 	retryBudgets map[string]*hwretry.Budget
 	shares       *hwadmit.FairShares
-	quarantine   *hwquarantine.CrashTracker
+	// returnSchedules is keyed by pool.
+	returnSchedules map[string]*hwadmit.ReturnSchedule
+	quarantine      *hwquarantine.CrashTracker
 	// upstreams is the current list of upstreams by pool.
 	upstreams map[string][]hwplace.Upstream
 	// cachesListed contains the pools whose engines were asked for the contents of their caches.
@@ -111,19 +115,20 @@
 		bodyMemory: memoryLimiter{
 			limit: settings.BodyMemoryLimit,
 		},
-		protocol:     dependencies.Protocol,
-		cacheLister:  dependencies.CacheLister,
-		transport:    dependencies.Transport,
-		logger:       dependencies.Logger,
-		clock:        dependencies.Clock,
-		random:       rand.New(dependencies.Random),
-		pools:        map[string]*hwplace.Pool{},
-		retryBudgets: map[string]*hwretry.Budget{},
-		shares:       hwadmit.NewFairShares(settings.ShareWindow),
-		quarantine:   hwquarantine.New(settings.Quarantine),
-		upstreams:    map[string][]hwplace.Upstream{},
-		cachesListed: map[string]bool{},
-		metrics:      newMetrics(),
+		protocol:        dependencies.Protocol,
+		cacheLister:     dependencies.CacheLister,
+		transport:       dependencies.Transport,
+		logger:          dependencies.Logger,
+		clock:           dependencies.Clock,
+		random:          rand.New(dependencies.Random),
+		pools:           map[string]*hwplace.Pool{},
+		retryBudgets:    map[string]*hwretry.Budget{},
+		shares:          hwadmit.NewFairShares(settings.ShareWindow),
+		returnSchedules: map[string]*hwadmit.ReturnSchedule{},
+		quarantine:      hwquarantine.New(settings.Quarantine),
+		upstreams:       map[string][]hwplace.Upstream{},
+		cachesListed:    map[string]bool{},
+		metrics:         newMetrics(),
 	}
 }
 
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -237,12 +237,12 @@
 			reason = "the account is over its share and idle capacity is not lent for that long"
 		}
 		if !metered || !r.shares.Underserved(now, e.account, r.table.Load().Limits().FleetTokensPerSecond) {
-			return newRefusal(hwerror.KindDeadlineCannotBeMet, reason).WithRetryAfter(decision.RetryAfter)
+			return e.refuseAdmission(now, pool, reason, decision)
 		}
 		query.MaxWait = r.settings.Admission.FairShareMaxWait(e.route.LatencyObjective)
 		alternative, found := pool.Choose(now, query)
 		if !found {
-			return newRefusal(hwerror.KindDeadlineCannotBeMet, reason).WithRetryAfter(decision.RetryAfter)
+			return e.refuseAdmission(now, pool, reason, decision)
 		}
 		e.choice = alternative
 		e.queueWait = alternative.QueueWait
@@ -253,6 +253,32 @@
 	return nil
 }
 
+// refuseAdmission refuses the request and tells the caller when to retry. Callers of accounts within their share have a right to the capacity, so each gets its time in the schedule of the pool. Those over their share only retry after the excess wait. The lock must be held.
+func (e *exchange) refuseAdmission(now time.Time, pool *hwplace.Pool, reason string, decision hwadmit.Decision) *hwerror.RequestError {
+	r := e.router
+	retryAfter := decision.RetryAfter
+	if pool.HasEngines() && e.shareUsage < 1 {
+		// The retries of all routers share the part of the pool that is planned for them.
+		cost := float64(e.choice.PrefillTime) * float64(r.shares.ReportingRouters(now)) / (retryCapacityRatio * float64(max(1, pool.ActiveUpstreams())))
+		latest := now.Add(time.Duration(r.settings.MaxRetryAfterRatio * float64(e.deadline.Sub(now))))
+		retryAfter = e.returnSchedule().Reserve(now.Add(retryAfter), latest, time.Duration(cost)).Sub(now)
+	}
+	return newRefusal(hwerror.KindDeadlineCannotBeMet, reason).WithRetryAfter(retryAfter)
+}
+
+// retryCapacityRatio is the part of a pool's capacity that is planned for the retries of refused callers. The rest is for new requests.
+const retryCapacityRatio = 0.5
+
+// returnSchedule returns the schedule of the request's pool, and creates it on first use. The lock must be held.
+func (e *exchange) returnSchedule() *hwadmit.ReturnSchedule {
+	schedule := e.router.returnSchedules[e.pool]
+	if schedule == nil {
+		schedule = &hwadmit.ReturnSchedule{}
+		e.router.returnSchedules[e.pool] = schedule
+	}
+	return schedule
+}
+
 // readmit repeats the admission decision for a request that no upstream has executed yet. Otherwise, if many upstreams crash or are full at the same time, their requests would queue at the other upstreams without a limit. The lock must be held.
 func (e *exchange) readmit() *hwerror.RequestError {
 	e.queueWait = e.choice.QueueWait
