hwfleet: a restarted router's updates count from the first one on

Its load at the upstreams was unknown to its peers. Ruled out: trusting boot ids in order; they are random. Change: a new boot id resets the sequence number. A delayed datagram of the old start swaps them back until the next update. TestUpdatesCountAtOnceAfterARestart: 1 of 3 updates applied before, 3 of 3 now.

--- a/lib/hwfleet/fleet.go
+++ b/lib/hwfleet/fleet.go
@@ -199,7 +199,11 @@
 	f.memberJoined = f.memberJoined || joined
 	outdated := p.boot == datagram.GetBoot() && datagram.GetSequence() <= p.sequence
 	p.name = datagram.GetRouter()
-	p.boot = datagram.GetBoot()
+	if p.boot != datagram.GetBoot() {
+		// A restarted router counts its updates from 1 again.
+		p.boot = datagram.GetBoot()
+		p.sequence = 0
+	}
 	p.lastSeen = now
 	p.storeReachable = datagram.GetReaches()
 	if !outdated && !isQuery {
--- a/lib/hwfleet/fleet_test.go
+++ b/lib/hwfleet/fleet_test.go
@@ -15,12 +15,14 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/hickorywick/hickorywick/lib/hwadmit"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwfleet"
 	"github.com/hickorywick/hickorywick/lib/hwfollow"
 	"github.com/hickorywick/hickorywick/lib/hwforward"
+	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
 	"github.com/hickorywick/hickorywick/lib/hwplace"
 	"github.com/hickorywick/hickorywick/lib/hwprompt"
 	"github.com/hickorywick/hickorywick/lib/hwquarantine"
@@ -32,6 +34,7 @@
 	update   hwforward.PeerUpdate
 	lock     sync.Mutex
 	received map[string]hwforward.PeerUpdate
+	updates  int
 }
 
 func (d *fakeDelegate) TakePeerUpdate(time.Time) hwforward.PeerUpdate { return d.update }
@@ -43,6 +46,13 @@
 		d.received = map[string]hwforward.PeerUpdate{}
 	}
 	d.received[peer] = update
+	d.updates++
+}
+
+func (d *fakeDelegate) updateCount() int {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.updates
 }
 
 func (d *fakeDelegate) receivedFrom(peer string) (hwforward.PeerUpdate, bool) {
@@ -112,6 +122,28 @@
 	require.Eventually(t, func() bool { return first.PeerCount(time.Now()) == 1 }, 5*time.Second, 5*time.Millisecond)
 }
 
+// The first datagram of a restarted router is a query. Its updates count from the first one on, although their sequence numbers are below those of the start before.
+func TestUpdatesCountAtOnceAfterARestart(t *testing.T) {
+	_, delegate, address := startRouter(t, "first", hwforward.PeerUpdate{})
+	conn, err := net.Dial("udp4", address.String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	for _, datagram := range []*hwpeerpb.Datagram{
+		{Router: "second", Boot: 1, Sequence: 500},
+		{Router: "second", Boot: 1, Sequence: 499},
+		{Router: "second", Boot: 2, Query: &hwpeerpb.StateQuery{}},
+		{Router: "second", Boot: 2, Sequence: 1},
+		{Router: "second", Boot: 2, Sequence: 2},
+	} {
+		encoded, err := proto.Marshal(datagram)
+		require.NoError(t, err)
+		_, err = conn.Write(encoded)
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return delegate.updateCount() >= 3 }, 5*time.Second, time.Millisecond)
+	assert.Equal(t, 3, delegate.updateCount(), "the update that arrived late does not count")
+}
+
 // Packets that are not a router's datagrams have no effect.
 func TestInvalidDatagramsAreIgnored(t *testing.T) {
 	first, delegate, seed := startRouter(t, "first", hwforward.PeerUpdate{})
