hwplace: recent failures weigh the same for all requests

It guards no rule: what runs twice is decided by hwforward, not by the choice. The field Request.Retryable goes with it; no test tested it.

--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -26,7 +26,7 @@
 	RetryReserve float64
 	// RetryRefillTime is the time in which an empty reserve refills. It must be longer than the window in which attempts are counted, so that no window contains two full reserves.
 	RetryRefillTime time.Duration
-	// MaxRetryAfterRatio is the longest Retry-After that clients honor, as a ratio of the time that they have left.
+	// MaxRetryAfterRatio is the longest Retry-After for which clients wait, as a ratio of the time that they have left.
 	MaxRetryAfterRatio float64
 	// KeyMaxStaleness is the maximum age of the table's last confirmation at which requests with a key are served. TableMaxStaleness is the maximum age at which the table is trusted to show that a route or key does not exist.
 	KeyMaxStaleness   time.Duration
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -173,10 +173,9 @@
 		return newRefusal(hwerror.KindNoUpstream, "the route's pool is not known").WithRetryAfter(noUpstreamRetryAfter)
 	}
 	query := hwplace.Request{
-		Prompt:    e.prompt,
-		Excluded:  e.excluded,
-		Random:    r.random.Float64(),
-		Retryable: e.retryable(),
+		Prompt:   e.prompt,
+		Excluded: e.excluded,
+		Random:   r.random.Float64(),
 	}
 	choice, found := pool.Choose(now, query)
 	if !found && len(e.excluded) > 0 && ctx.Err() == nil {
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -88,8 +88,6 @@
 	Random float64
 	// MaxWait excludes upstreams with a longer estimated wait; 0 is no limit.
 	MaxWait time.Duration
-	// Retryable requests may run more than once. For other requests recent failures of an upstream count twice.
-	Retryable bool
 }
 
 // Choice is a chosen upstream with the estimates on which the choice was based.
@@ -347,9 +345,6 @@
 		RecentFailures: s.recentFailures(now),
 	}
 	score := choice.RecentFailures * failurePenaltyMS
-	if !request.Retryable {
-		score += choice.RecentFailures * failurePenaltyMS
-	}
 	score += s.silenceMS(now)
 	if s.upstream.Zone != p.settings.Zone {
 		score += p.settings.CrossZonePenaltyMS
