Remove four fields that were written and never read

pool.reportedAt and delivery.eventsSent of hwrouter, Meter.createdAt of hwburn with the argument that only set it, Table.selfTransmitsLeft of hwmember (the own row goes with every message). None is on the platform's data path.

--- a/lib/hwburn/burn_test.go
+++ b/lib/hwburn/burn_test.go
@@ -24,7 +24,7 @@
 
 // Guards against alerts that fire on a short error burst, miss an outage or outlast it. Two instances go through an outage, and their merged counts are evaluated.
 func TestAlertFiresDuringOutageAndClears(t *testing.T) {
-	meters := []*hwburn.Meter{hwburn.NewMeter(start, objective()), hwburn.NewMeter(start, objective())}
+	meters := []*hwburn.Meter{hwburn.NewMeter(objective()), hwburn.NewMeter(objective())}
 	now := start
 	run := func(duration time.Duration, failing bool) hwburn.BurnStatus {
 		for end := now.Add(duration); now.Before(end); now = now.Add(time.Second) {
@@ -84,7 +84,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			m := hwburn.NewMeter(start, objective())
+			m := hwburn.NewMeter(objective())
 			m.Observe(start, c.timeToFirstByte, c.succeeded)
 			assert.Equal(t, hwburn.RequestCount{
 				Total: 1,
@@ -96,7 +96,7 @@
 
 func ExampleMeter() {
 	now := time.Unix(1_700_000_000, 0)
-	m := hwburn.NewMeter(now, hwburn.Objective{
+	m := hwburn.NewMeter(hwburn.Objective{
 		Account:          "bar-staff",
 		Pool:             "desk",
 		LatencyThreshold: time.Second,
--- a/lib/hwburn/meter.go
+++ b/lib/hwburn/meter.go
@@ -80,15 +80,13 @@
 	objective Objective
 	buckets   [bucketCount]bucket
 	latencies *hdrhistogram.Histogram
-	createdAt time.Time
 }
 
 // NewMeter returns an empty meter.
-func NewMeter(now time.Time, objective Objective) *Meter {
+func NewMeter(objective Objective) *Meter {
 	return &Meter{
 		objective: objective,
 		latencies: hdrhistogram.New(minLatencyMillis, maxLatencyMillis, significantDigits),
-		createdAt: now,
 	}
 }
 
--- a/lib/hwengine/engine.go
+++ b/lib/hwengine/engine.go
@@ -78,7 +78,7 @@
 // Submit adds a request to the queue. Requests must be submitted after Advance to the time of their arrival.
 func (e *Engine) Submit(request Request) { e.waiting = append(e.waiting, request) }
 
-// Waiting and Running return the number of requests in the queue and in the batch.
+// Waiting returns the number of requests in the queue.
 func (e *Engine) Waiting() int { return len(e.waiting) }
 
 // Running returns the number of requests in the batch.
--- a/lib/hwmember/member.go
+++ b/lib/hwmember/member.go
@@ -93,18 +93,15 @@
 	changes    []Change
 	// suspectCount is the number of members in state Suspect.
 	suspectCount int
-	// selfTransmitsLeft is the number of messages that are still to carry this instance's own row.
-	selfTransmitsLeft int
 }
 
 // New returns a table that contains only the instance itself.
 func New(settings Settings, self Row, source rand.Source) *Table {
 	return &Table{
-		settings:          settings,
-		self:              self,
-		random:            rand.New(source),
-		members:           map[string]*member{},
-		selfTransmitsLeft: settings.TransmitLimit,
+		settings: settings,
+		self:     self,
+		random:   rand.New(source),
+		members:  map[string]*member{},
 	}
 }
 
@@ -331,13 +328,11 @@
 		return
 	}
 	t.self.Incarnation = row.Incarnation + 1
-	t.selfTransmitsLeft = t.settings.TransmitLimit
 }
 
 // Leave marks this instance as having left.
 func (t *Table) Leave() {
 	t.self.State = Left
-	t.selfTransmitsLeft = t.settings.TransmitLimit
 }
 
 // GossipRows returns the rows to piggyback on a message: this instance's own row and changed rows with transmissions left. Each call uses up one transmission of the rows it returns.
--- a/lib/hwrouter/burn.go
+++ b/lib/hwrouter/burn.go
@@ -16,7 +16,7 @@
 }
 
 // setDocument keeps the meters of unchanged objectives, creates those of new ones and drops the rest.
-func (o *objectiveMeters) setDocument(now time.Time, document *hwdocument.Document) {
+func (o *objectiveMeters) setDocument(document *hwdocument.Document) {
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	next := map[hwburn.Objective]*hwburn.Meter{}
@@ -29,7 +29,7 @@
 		}
 		next[objective] = o.meters[objective]
 		if next[objective] == nil {
-			next[objective] = hwburn.NewMeter(now, objective)
+			next[objective] = hwburn.NewMeter(objective)
 		}
 	}
 	o.meters = next
--- a/lib/hwrouter/document.go
+++ b/lib/hwrouter/document.go
@@ -161,7 +161,7 @@
 
 // applyDocument creates, reconfigures and removes pools and brokers to match a new document. The caller holds poolsLock.
 func (r *Router) applyDocument(document *hwdocument.Document) {
-	r.objectiveMeters.setDocument(time.Now(), document)
+	r.objectiveMeters.setDocument(document)
 	members := r.members()
 	for _, spec := range document.Pools {
 		if p, known := r.pools[spec.Name]; known {
--- a/lib/hwrouter/pool.go
+++ b/lib/hwrouter/pool.go
@@ -37,7 +37,6 @@
 	dispatcher *hwdispatch.Dispatcher
 	waiters    map[string]chan decision
 	budget     *hwretry.Budget
-	reportedAt time.Time
 }
 
 // Settings of dispatchers, brokers and retry budgets that are the same for all pools.
@@ -197,7 +196,6 @@
 func (p *pool) nextReport(now time.Time, leaving bool) hwslot.Report {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	p.reportedAt = now
 	return p.dispatcher.NextReport(now, leaving)
 }
 
--- a/lib/hwrouter/relay.go
+++ b/lib/hwrouter/relay.go
@@ -81,7 +81,6 @@
 		}
 	}
 	return response.ReadEvents(maxEventBytes, func(event sse.Event) error {
-		d.eventsSent++
 		if event.LastEventID != "" {
 			d.lastEventID = event.LastEventID
 		}
--- a/lib/hwrouter/serve.go
+++ b/lib/hwrouter/serve.go
@@ -32,9 +32,7 @@
 	excluded []string
 	// maybeSent reports whether an earlier attempt may have reached an upstream.
 	maybeSent bool
-	// eventsSent counts the events of the stream that were relayed to the caller.
-	eventsSent int
-	// lastEventID is the ID of the last of them, from which an upstream can resume the stream.
+	// lastEventID is the ID of the last event that was relayed to the caller, from which an upstream can resume the stream.
 	lastEventID string
 	// headerWritten reports whether the response header was written.
 	headerWritten bool
