hwfront: a stop while listeners open is no data race

Found by make race on: TestStopEndsWithoutError, which starts and stops a node, raced on the list of servers (a SIGTERM during the start does the same). A lock guards the list now, and a server that is opened after Stop has closed the others is closed at once. hwfront and platform pass under the race detector.

--- a/lib/hwfront/server.go
+++ b/lib/hwfront/server.go
@@ -44,7 +44,9 @@
 	router   *hwforward.Router
 	logger   *hwevent.Logger
 	now      func() time.Time
-	servers  []*http.Server
+	// lock guards servers, listeners and acceptsEnded: the process may be told to stop while it still opens listeners.
+	lock    sync.Mutex
+	servers []*http.Server
 	// listeners holds the listener of each entry in servers.
 	listeners []net.Listener
 	// acceptsEnded holds for each entry in servers a channel that is closed when it accepts no more connections.
@@ -95,10 +97,10 @@
 			ConnState:         s.connStateCounter(l.address == s.settings.ClientAddress),
 			ErrorLog:          hwevent.StandardLogger(s.logger, hwevent.LibraryLine),
 		}
-		s.servers = append(s.servers, server)
-		s.listeners = append(s.listeners, listener)
 		acceptEnded := make(chan struct{})
-		s.acceptsEnded = append(s.acceptsEnded, acceptEnded)
+		if !s.register(server, listener, acceptEnded) {
+			return trace.NewAggregate(listener.Close(), hwtask.Join(tasks...))
+		}
 		tasks = append(tasks, hwtask.Start(ctx, func(context.Context) error {
 			err := server.Serve(listener)
 			close(acceptEnded)
@@ -114,6 +116,19 @@
 	return hwtask.Join(tasks...)
 }
 
+// register makes a server known to Stop. It returns false if Stop no longer waits for new ones.
+func (s *Server) register(server *http.Server, listener net.Listener, acceptEnded <-chan struct{}) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.stopping.Load() {
+		return false
+	}
+	s.servers = append(s.servers, server)
+	s.listeners = append(s.listeners, listener)
+	s.acceptsEnded = append(s.acceptsEnded, acceptEnded)
+	return true
+}
+
 // maxListeners is the number of listeners that a server may have.
 const maxListeners = 3
 
@@ -200,6 +215,8 @@
 		hwtask.Sleep(ctx, drainPollInterval)
 	}
 	s.stopping.Store(true)
+	s.lock.Lock()
+	defer s.lock.Unlock()
 	failures := make([]error, 0, len(s.servers))
 	for i, server := range s.servers {
 		failures = append(failures, s.listeners[i].Close())
