hwforward: a line for each crash and for each request that was in flight there

Observability for the incident; no decision changes. The logs could not tell whether crashes were not confirmed or not added up. Events 1602 and 1603 and a counter; at most 32 lines a crash.

--- a/lib/hwevent/catalogue.go
+++ b/lib/hwevent/catalogue.go
@@ -33,6 +33,8 @@
 	CacheListed           = register(1507, Info, "cache-listed", "An engine listed the segments of prompts that it has cached, as this router asked when it started.")
 	CacheNotListed        = register(1508, Warn, "cache-not-listed", "An engine did not list what it has cached; the router learns it from the prompts that it sends there.")
 	RequestQuarantined    = register(1601, Error, "request-quarantined", "A request was in flight at two upstreams when they crashed; it is temporarily rejected.")
+	UpstreamCrashed       = register(1602, Warn, "upstream-crashed", "An upstream crashed while requests of this router were in flight there; a line for each of them follows.")
+	CrashSuspect          = register(1603, Info, "crash-suspect", "A request was in flight at an upstream that crashed; the fields state how far it was and which segments its prompt shares with others.")
 	RequestRefused        = register(1701, Info, "request-refused", "A request was rejected before any byte of it was sent to an upstream.")
 	OutcomeUnknown        = register(1702, Warn, "outcome-unknown", "A request ended without proof of whether it was executed; the response to the caller states this.")
 	OutcomeNotRecorded    = register(1703, Warn, "outcome-not-recorded", "The outcome of a request with an idempotency key could not be recorded; a repeated request gets the outcome unknown.")
--- a/lib/hwforward/metrics.go
+++ b/lib/hwforward/metrics.go
@@ -25,6 +25,8 @@
 	total         *hdrhistogram.Histogram
 	estimatedWait *hdrhistogram.Histogram
 	retries       *atomic.Int64
+	// crashes counts the crashes of upstreams at which this router had requests in flight.
+	crashes *atomic.Int64
 	// waitEstimates compares the estimated with the observed queue waits at engines, grouped by the estimate.
 	waitEstimates *[len(waitEstimateBoundsMS) + 1]waitEstimateSum
 }
@@ -69,6 +71,7 @@
 		total:         histogram(),
 		estimatedWait: histogram(),
 		retries:       &atomic.Int64{},
+		crashes:       &atomic.Int64{},
 
 		waitEstimates: &[len(waitEstimateBoundsMS) + 1]waitEstimateSum{},
 	}
@@ -103,6 +106,7 @@
 	_, _ = fmt.Fprintf(w, "hickorywick_requests_total %d\n", m.requests.Load())
 	_, _ = fmt.Fprintf(w, "hickorywick_requests_in_flight %d\n", r.InFlight())
 	_, _ = fmt.Fprintf(w, "hickorywick_requests_sent_again_total %d\n", m.retries.Load())
+	_, _ = fmt.Fprintf(w, "hickorywick_upstream_crashes_total %d\n", m.crashes.Load())
 	_, _ = fmt.Fprintf(w, "hickorywick_upstream_connections_opened_total %d\n", r.transport.ConnectionsOpened())
 	_, _ = fmt.Fprintf(w, "hickorywick_body_bytes_held %d\n", r.bodyMemory.reserved.Load())
 	_, _ = fmt.Fprintf(w, "hickorywick_table_version %d\n", r.tableVersion())
--- a/lib/hwforward/quarantine.go
+++ b/lib/hwforward/quarantine.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwevent"
@@ -15,6 +17,12 @@
 	fingerprint hwquarantine.Fingerprint
 	upstream    string
 	at          time.Time
+	// The fields below describe the request in logs. answered reports that part of its response had arrived; sends is the number of attempts.
+	requestID string
+	answered  bool
+	sends     int
+	// segments are the content hashes of the prompt's segments that other requests may share.
+	segments []uint64
 }
 
 const (
@@ -22,6 +30,9 @@
 	crashAttributionWindow = 3 * time.Second
 	// maxCrashSuspects limits the memory for suspects.
 	maxCrashSuspects = 2048
+	// maxLoggedSuspects and maxLoggedSegments limit what is logged for one crash.
+	maxLoggedSuspects = 32
+	maxLoggedSegments = 8
 	// crashCheckDelay is the time from the failure of a connection to the attempt to open a new one, and crashCheckTimeout is the timeout of that attempt. A crashed upstream refuses the connection or does not respond.
 	crashCheckDelay   = 30 * time.Millisecond
 	crashCheckTimeout = 300 * time.Millisecond
@@ -39,6 +50,10 @@
 			fingerprint: e.fingerprint,
 			upstream:    upstream,
 			at:          now,
+			requestID:   e.info.ID,
+			answered:    e.inFlight.Progressed(),
+			sends:       e.attempts,
+			segments:    e.prompt.SharedContent(),
 		})
 	}
 	r.lock.Unlock()
@@ -63,11 +78,13 @@
 // confirmCrash turns the recent suspects of a crashed upstream into crash reports. The lock must be held.
 func (r *Router) confirmCrash(now time.Time, upstream string) {
 	var reports []hwquarantine.CrashReport
+	var suspects []crashSuspect
 	r.crashSuspects = slices.DeleteFunc(r.crashSuspects, func(s crashSuspect) bool {
 		if s.upstream != upstream {
 			return false
 		}
 		if now.Sub(s.at) <= crashAttributionWindow {
+			suspects = append(suspects, s)
 			reports = append(reports, hwquarantine.CrashReport{
 				Fingerprint: s.fingerprint,
 				Upstream:    s.upstream,
@@ -76,9 +93,37 @@
 		}
 		return true
 	})
+	r.logCrash(upstream, suspects)
 	r.mergeCrashReports(now, reports, true)
 }
 
+// logCrash logs a crash and the requests that were in flight there. Without suspects, this router had nothing to do with the upstream.
+func (r *Router) logCrash(upstream string, suspects []crashSuspect) {
+	if len(suspects) == 0 {
+		return
+	}
+	r.metrics.crashes.Add(1)
+	r.logger.Emit(hwevent.UpstreamCrashed, hwevent.With("upstream", upstream), hwevent.With("suspects", len(suspects)))
+	for _, s := range suspects[:min(len(suspects), maxLoggedSuspects)] {
+		r.logger.Emit(hwevent.CrashSuspect,
+			hwevent.With("request-id", s.requestID),
+			hwevent.With("upstream", upstream),
+			hwevent.With("fingerprint", uint64(s.fingerprint)),
+			hwevent.With("answered", s.answered),
+			hwevent.With("sends", s.sends),
+			hwevent.With("segments", hexList(s.segments[:min(len(s.segments), maxLoggedSegments)])))
+	}
+}
+
+// hexList returns hashes in the form in which logs show them.
+func hexList(hashes []uint64) string {
+	texts := make([]string, 0, len(hashes))
+	for _, hash := range hashes {
+		texts = append(texts, strconv.FormatUint(hash, 16))
+	}
+	return strings.Join(texts, ",")
+}
+
 // mergeCrashReports adds crash reports and logs the requests that they quarantine. Reports by this router itself are also sent to the peers. The lock must be held.
 func (r *Router) mergeCrashReports(now time.Time, reports []hwquarantine.CrashReport, local bool) {
 	if len(reports) == 0 {
--- a/lib/hwplace/ticket.go
+++ b/lib/hwplace/ticket.go
@@ -53,6 +53,9 @@
 	return true, elapsed
 }
 
+// Progressed reports whether part of the answer has arrived.
+func (r *InFlightRequest) Progressed() bool { return r.progressed }
+
 // requestSmoothing is the weight of a new sample in the moving average of a plain service's request time.
 const requestSmoothing = 0.05
 
--- a/lib/hwprompt/index.go
+++ b/lib/hwprompt/index.go
@@ -68,6 +68,18 @@
 // Segments returns the segments with the hashes of their prefixes.
 func (p Prompt) Segments() []ChainedSegment { return p.segments }
 
+// SharedContent returns the content hashes of the segments that other requests may share: all but the last one, which belongs to the request or its session alone.
+func (p Prompt) SharedContent() []uint64 {
+	if len(p.segments) < 2 {
+		return nil
+	}
+	hashes := make([]uint64, 0, len(p.segments)-1)
+	for _, segment := range p.segments[:len(p.segments)-1] {
+		hashes = append(hashes, segment.ContentHash)
+	}
+	return hashes
+}
+
 // SharedPrefix returns the hash of the longest prefix that the prompt is expected to share with other requests, or false for a prompt without segments. Of several segments the last one belongs to the request or its session alone.
 func (p Prompt) SharedPrefix() (uint64, bool) {
 	switch len(p.segments) {
