--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -30,8 +30,19 @@
 
 func (testProtocol) RequestIDHeader() string { return "X-Id" }
 
-// promptParts returns a single segment with the tokens of the X-Tokens header.
+// promptParts returns the segments whose IDs the X-Segments header lists, or a single segment with the tokens of the X-Tokens header.
 func promptParts(r *http.Request) []hwprompt.Segment {
+	if list := r.Header.Get("X-Segments"); list != "" {
+		var segments []hwprompt.Segment
+		for text := range strings.SplitSeq(list, ",") {
+			id, err := strconv.ParseUint(text, 10, 64)
+			if err != nil {
+				return segments
+			}
+			segments = append(segments, hwprompt.Segment{ID: id, Tokens: 1})
+		}
+		return segments
+	}
 	tokens, err := strconv.Atoi(r.Header.Get("X-Tokens"))
 	if err != nil {
 		return nil
