Quarantine segments of prompts at which engines crash

Cause: crashes were counted by request, an identity that no two of these requests share; and a request that had crashed one engine was sent to a second.

Change: a tracker counts crashes by segment. A crash suspects all segments of the requests without an answer there. An answer clears a segment; of the rest, the guilty one is at every crash. Two crashes quarantine a segment that was never answered, five that no other segment explains one that was. Routers exchange the evidence, send it again while it matters, and agree by turns on who tries a quarantined segment (after 5, 40 and 320 s). A request with a segment that was never answered is not sent again after its upstream crashed; requests that wait with a segment of three crashes are cancelled. Upstreams that fall silent or drain are no evidence.

--- a/lib/hwfleet/datagram.go
+++ b/lib/hwfleet/datagram.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"time"
 
@@ -77,13 +78,28 @@
 		datagram.Strikes = append(datagram.Strikes, &hwpeerpb.CrashStrike{
 			Fingerprint: uint64(s.Fingerprint),
 			Upstream:    s.Upstream,
-			AgeMs:       uint32(max(0, now.Sub(s.OccurredAt).Milliseconds())),
+			AgeMs:       reportAge(now, s.OccurredAt),
 			Cleared:     s.Cleared,
 		})
 	}
+	for _, r := range update.SegmentReports {
+		datagram.Segments = append(datagram.Segments, &hwpeerpb.SegmentReport{
+			Segment:        uint64(r.Segment),
+			Kind:           uint32(r.Kind),
+			AgeMs:          reportAge(now, r.At),
+			Upstream:       uint32(r.Upstream),
+			AnsweredBefore: r.AnsweredBefore,
+			Trials:         uint32(r.Trials),
+		})
+	}
 	return datagram
 }
 
+// reportAge returns the age of a report in milliseconds.
+func reportAge(now, at time.Time) uint32 {
+	return uint32(min(max(0, now.Sub(at).Milliseconds()), math.MaxUint32))
+}
+
 // decodeUpdate decodes the update in a datagram. Columns of unequal length, which no router sends, are cut to the shortest of them.
 func decodeUpdate(now time.Time, datagram *hwpeerpb.Datagram) hwforward.PeerUpdate {
 	update := hwforward.PeerUpdate{
@@ -129,6 +145,16 @@
 			Cleared:     s.GetCleared(),
 		})
 	}
+	for _, r := range datagram.GetSegments() {
+		update.SegmentReports = append(update.SegmentReports, hwquarantine.SegmentReport{
+			Segment:        hwquarantine.Segment(r.GetSegment()),
+			Kind:           hwquarantine.SegmentReportKind(r.GetKind()),
+			At:             now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
+			Upstream:       hwquarantine.UpstreamHash(r.GetUpstream()),
+			AnsweredBefore: r.GetAnsweredBefore(),
+			Trials:         boundedCount(r.GetTrials()),
+		})
+	}
 	return update
 }
 
--- /dev/null
+++ b/lib/hwforward/export_test.go
@@ -0,0 +1,22 @@
+package hwforward
+
+import (
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
+)
+
+// RecordSilence records that an upstream was found unreachable after a request with the segment had timed out there.
+func (r *Router) RecordSilence(now time.Time, upstream hwplace.Upstream, segment hwquarantine.Segment) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.recordSegmentCrash(now, []crashSuspect{
+		{
+			address:  upstream.Address,
+			at:       now,
+			silent:   true,
+			segments: []hwquarantine.Segment{segment},
+		},
+	})
+}
--- a/lib/hwforward/metrics.go
+++ b/lib/hwforward/metrics.go
@@ -140,6 +140,7 @@
 	m.lock.Unlock()
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	_, _ = fmt.Fprintf(w, "hickorywick_quarantined_segments %d\n", r.segments.QuarantinedCount())
 	for _, name := range slices.Sorted(maps.Keys(r.pools)) {
 		tokensPerMS, requestMS := r.pools[name].LearnedRates()
 		_, _ = fmt.Fprintf(w, "hickorywick_pool_upstreams{pool=%q} %d\n", name, r.pools[name].ActiveUpstreams())
--- a/lib/hwforward/news.go
+++ b/lib/hwforward/news.go
@@ -26,6 +26,8 @@
 	AccountUsage map[string]hwadmit.Usage
 	Prefills     []Prefill
 	Strikes      []hwquarantine.CrashReport
+	// SegmentReports are about segments of prompts at which upstreams crash.
+	SegmentReports []hwquarantine.SegmentReport
 }
 
 // Limits on the contents of one update.
@@ -33,6 +35,8 @@
 	maxPrefillsPerUpdate     = 200
 	maxObservationsPerUpdate = 100
 	maxCrashReportsPerUpdate = 20
+	// maxSegmentReportsPerUpdate keeps them below 3 kB of a datagram.
+	maxSegmentReportsPerUpdate = 100
 )
 
 // usageInterval is the minimum time between two updates that include the accounts' usage. The usage is averaged over seconds, so it changes slowly.
@@ -60,6 +64,7 @@
 	}
 	update.Prefills, r.pendingUpdate.Prefills = splitAt(r.pendingUpdate.Prefills, maxPrefillsPerUpdate)
 	update.Strikes, r.pendingUpdate.Strikes = splitAt(r.pendingUpdate.Strikes, maxCrashReportsPerUpdate)
+	update.SegmentReports = r.takeSegmentReports(now)
 	return update
 }
 
@@ -90,4 +95,5 @@
 		}
 	}
 	r.mergeCrashReports(now, update.Strikes, false)
+	r.mergeSegmentReports(now, peer, update.SegmentReports)
 }
--- a/lib/hwforward/quarantine.go
+++ b/lib/hwforward/quarantine.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"slices"
-	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwplace"
 	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 	"github.com/hickorywick/hickorywick/lib/hwtask"
 )
@@ -16,13 +19,16 @@
 type crashSuspect struct {
 	fingerprint hwquarantine.Fingerprint
 	upstream    string
+	address     string
 	at          time.Time
-	// The fields below describe the request in logs. answered reports that part of its response had arrived; sends is the number of attempts.
-	requestID string
-	answered  bool
-	sends     int
-	// segments are the content hashes of the prompt's segments that other requests may share.
-	segments []uint64
+	requestID   string
+	// answered reports that the upstream, or an earlier one, survived the beginning of the answer; sends is the number of attempts.
+	answered bool
+	// silent reports that the upstream did not close the connection itself.
+	silent bool
+	sends  int
+	// segments are those of the prompt that other requests may share.
+	segments []hwquarantine.Segment
 }
 
 const (
@@ -38,45 +44,73 @@
 	crashCheckTimeout = 300 * time.Millisecond
 )
 
-// recordCrashSuspect records a request whose connection failed and checks in the background whether the upstream still accepts connections.
-func (r *Router) recordCrashSuspect(ctx context.Context, now time.Time, e *exchange, upstream, address string) {
+// recordCrashSuspect records a request whose connection failed and checks in the background whether the upstream still accepts connections. The returned channel is closed once that is known.
+func (r *Router) recordCrashSuspect(ctx context.Context, now time.Time, e *exchange, broken error) <-chan struct{} {
+	upstream := e.choice.Upstream
 	r.lock.Lock()
+	defer r.lock.Unlock()
 	r.crashSuspects = slices.DeleteFunc(r.crashSuspects, func(s crashSuspect) bool { return now.Sub(s.at) > crashAttributionWindow })
-	checkPending := slices.ContainsFunc(r.crashSuspects, func(s crashSuspect) bool {
-		return s.upstream == upstream && now.Sub(s.at) < crashCheckDelay
-	})
 	if len(r.crashSuspects) < maxCrashSuspects {
 		r.crashSuspects = append(r.crashSuspects, crashSuspect{
 			fingerprint: e.fingerprint,
-			upstream:    upstream,
+			upstream:    upstream.ID,
+			address:     upstream.Address,
 			at:          now,
 			requestID:   e.info.ID,
-			answered:    e.inFlight.Progressed(),
+			answered:    e.answered,
+			silent:      isTimeout(broken),
 			sends:       e.attempts,
-			segments:    e.prompt.SharedContent(),
+			segments:    e.segments,
 		})
 	}
-	r.lock.Unlock()
-	if checkPending {
-		return
+	if checked, pending := r.pendingChecks[upstream.ID]; pending {
+		return checked
 	}
+	checked := make(chan struct{})
+	r.pendingChecks[upstream.ID] = checked
 	// The check must continue after the request has ended.
 	r.crashChecks.start(context.WithoutCancel(ctx), func(ctx context.Context) error {
-		hwtask.Sleep(ctx, crashCheckDelay)
-		ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-		defer cancel()
-		if r.transport.CanConnect(ctx, address) {
-			return nil
-		}
-		r.lock.Lock()
-		defer r.lock.Unlock()
-		r.confirmCrash(r.clock.Now(), upstream)
+		r.checkForCrash(ctx, upstream)
+		close(checked)
 		return nil
 	})
+	return checked
+}
+
+// checkForCrash finds out whether an upstream still accepts connections.
+func (r *Router) checkForCrash(ctx context.Context, upstream hwplace.Upstream) {
+	hwtask.Sleep(ctx, crashCheckDelay)
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	crashed := !r.transport.CanConnect(ctx, upstream.Address)
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	delete(r.pendingChecks, upstream.ID)
+	if !crashed {
+		return
+	}
+	now := r.clock.Now()
+	suspects := r.confirmCrash(now, upstream.ID)
+	if r.isServing(upstream) {
+		r.recordSegmentCrash(now, suspects)
+	}
+}
+
+// isServing reports whether an upstream is listed and not draining: one that leaves also closes its connections and accepts no new ones. The lock must be held.
+func (r *Router) isServing(upstream hwplace.Upstream) bool {
+	return slices.ContainsFunc(r.upstreams[upstream.Pool], func(u hwplace.Upstream) bool {
+		return u.ID == upstream.ID && !u.Draining
+	})
+}
+
+// isTimeout reports whether a connection failed because nothing arrived. The upstream may then be as well as before, and this router cut off from it.
+func isTimeout(err error) bool {
+	var networkErr net.Error
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.As(err, &networkErr) && networkErr.Timeout()
 }
 
-// confirmCrash turns the recent suspects of a crashed upstream into crash reports. The lock must be held.
-func (r *Router) confirmCrash(now time.Time, upstream string) {
+// confirmCrash turns the recent suspects of a crashed upstream into crash reports, and returns them. The lock must be held.
+func (r *Router) confirmCrash(now time.Time, upstream string) []crashSuspect {
 	var reports []hwquarantine.CrashReport
 	var suspects []crashSuspect
 	r.crashSuspects = slices.DeleteFunc(r.crashSuspects, func(s crashSuspect) bool {
@@ -95,6 +129,7 @@
 	})
 	r.logCrash(upstream, suspects)
 	r.mergeCrashReports(now, reports, true)
+	return suspects
 }
 
 // logCrash logs a crash and the requests that were in flight there. Without suspects, this router had nothing to do with the upstream.
@@ -115,11 +150,11 @@
 	}
 }
 
-// hexList returns hashes in the form in which logs show them.
-func hexList(hashes []uint64) string {
-	texts := make([]string, 0, len(hashes))
-	for _, hash := range hashes {
-		texts = append(texts, strconv.FormatUint(hash, 16))
+// hexList returns segments in the form in which logs show them.
+func hexList(segments []hwquarantine.Segment) string {
+	texts := make([]string, 0, len(segments))
+	for _, segment := range segments {
+		texts = append(texts, segment.String())
 	}
 	return strings.Join(texts, ",")
 }
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -43,6 +43,10 @@
 	GeneratedTokenWeight float64
 	// Quarantine configures the quarantine of requests that crash upstreams.
 	Quarantine hwquarantine.Settings
+	// Segments configures the quarantine of segments of prompts at which upstreams crash.
+	Segments hwquarantine.SegmentSettings
+	// Instance is the name under which the peers know this router.
+	Instance string
 }
 
 // Clock provides the time. Unlike the monotonic clock behind Now, BootTime also counts the time during which the machine was suspended.
@@ -103,6 +107,13 @@
 	cachesListed map[string]bool
 	// crashSuspects are requests that were in flight at an upstream when its connection failed.
 	crashSuspects []crashSuspect
+	// pendingChecks holds, by upstream, a channel that is closed once it is known whether the upstream has crashed.
+	pendingChecks map[string]chan struct{}
+	segments      *hwquarantine.SegmentTracker
+	// unanswered holds the attempts whose requests were not answered yet, with the function that cancels each.
+	unanswered map[*exchange]func()
+	// peersHeard is when each peer last sent an update.
+	peersHeard map[string]time.Time
 	// pendingUpdate is what has not been sent to the peers yet; usageSentAt is when the accounts' usage was last sent.
 	pendingUpdate PeerUpdate
 	usageSentAt   time.Time
@@ -126,6 +137,10 @@
 		shares:          hwadmit.NewFairShares(settings.ShareWindow),
 		returnSchedules: map[string]*hwadmit.ReturnSchedule{},
 		quarantine:      hwquarantine.New(settings.Quarantine),
+		pendingChecks:   map[string]chan struct{}{},
+		segments:        hwquarantine.NewSegmentTracker(settings.Segments),
+		unanswered:      map[*exchange]func(){},
+		peersHeard:      map[string]time.Time{},
 		upstreams:       map[string][]hwplace.Upstream{},
 		cachesListed:    map[string]bool{},
 		metrics:         newMetrics(),
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -74,7 +74,7 @@
 		if result.unsent {
 			unsent++
 		}
-		if unsent < maxUnsentAttempts && e.mayRetry(result) {
+		if unsent < maxUnsentAttempts && !e.isCulpritSuspect(ctx, result) && e.mayRetry(result) {
 			e.router.logger.Emit(hwevent.UpstreamRetry,
 				hwevent.With("request-id", e.info.ID),
 				hwevent.With("upstream", e.inFlight.Upstream),
@@ -172,10 +172,14 @@
 	if pool == nil {
 		return newRefusal(hwerror.KindNoUpstream, "the route's pool is not known").WithRetryAfter(noUpstreamRetryAfter)
 	}
+	if refusal := e.refuseQuarantined(now); refusal != nil {
+		return refusal
+	}
 	query := hwplace.Request{
-		Prompt:   e.prompt,
-		Excluded: e.excluded,
-		Random:   r.random.Float64(),
+		Prompt:      e.prompt,
+		Excluded:    e.excluded,
+		Random:      r.random.Float64(),
+		LeastLoaded: e.trial,
 	}
 	choice, found := pool.Choose(now, query)
 	if !found && len(e.excluded) > 0 && ctx.Err() == nil {
@@ -201,6 +205,9 @@
 		}
 	}
 	e.attempts++
+	if e.trial {
+		r.beginTrial(now, e)
+	}
 	e.inFlight = pool.Start(now, e.choice, query)
 	if pool.HasEngines() {
 		for _, segment := range e.prompt.Segments() {
@@ -301,6 +308,8 @@
 	// The deferred cancel ends the exchange with the upstream however this function returns.
 	attemptCtx, cancel := e.attemptContext(ctx, now)
 	defer cancel()
+	r.watchAttempt(e, cancel)
+	defer r.unwatchAttempt(e)
 	response, exchangeErr := r.transport.Do(attemptCtx, now, &hwlink.Request{
 		Address: e.choice.Upstream.Address,
 		Method:  e.request.Method,
@@ -325,7 +334,11 @@
 		} else if ctx.Err() == nil {
 			e.recordConnectFailure()
 		}
-		e.finishAttempt(ctx, true, exchangeErr.ConnectionFailed && exchangeErr.MaybeSent)
+		var broken error
+		if exchangeErr.ConnectionFailed && exchangeErr.MaybeSent {
+			broken = exchangeErr
+		}
+		e.finishAttempt(ctx, true, broken)
 		e.excluded = append(e.excluded, e.choice.Upstream.ID)
 		return attemptResult{
 			outcome: failed,
@@ -357,7 +370,7 @@
 
 // rejectResumption ends an attempt to resume a stream to which the upstream did not respond with a stream. The client already has the first part of the stream, so nothing of this response may be relayed.
 func (e *exchange) rejectResumption(ctx context.Context, response *hwlink.Response) attemptResult {
-	e.finishAttempt(ctx, true, false)
+	e.finishAttempt(ctx, true, nil)
 	e.excluded = append(e.excluded, e.choice.Upstream.ID)
 	return attemptResult{
 		outcome: failed,
@@ -412,7 +425,7 @@
 	if _, err := readLimited(response.Body, response.Length, maxRefusalBytes, e.reserveMemory); err == nil {
 		response.ReleaseConnection(e.router.clock.Now())
 	}
-	e.finishAttempt(ctx, response.Status == http.StatusMisdirectedRequest, false)
+	e.finishAttempt(ctx, response.Status == http.StatusMisdirectedRequest, nil)
 	e.excluded = append(e.excluded, e.choice.Upstream.ID)
 	return attemptResult{
 		outcome: notExecuted,
@@ -434,12 +447,12 @@
 	return "upstream " + e.Upstream + " refused with " + http.StatusText(e.Status)
 }
 
-// finishAttempt records the end of an attempt. Parameter upstreamFailed counts the attempt as a failure of the upstream; connectionFailed reports that the connection failed while the request was in flight.
-func (e *exchange) finishAttempt(ctx context.Context, upstreamFailed, connectionFailed bool) {
+// finishAttempt records the end of an attempt. Parameter upstreamFailed counts the attempt as a failure of the upstream; broken is the error with which the connection failed while the request was in flight, or nil.
+func (e *exchange) finishAttempt(ctx context.Context, upstreamFailed bool, broken error) {
 	r := e.router
 	now := r.clock.Now()
-	// An attempt that ended because of the client or the deadline is no failure of the upstream.
-	contextDone := ctx.Err() != nil
+	// An attempt that ended because of the client, the deadline or this router is no failure of the upstream.
+	contextDone := ctx.Err() != nil || e.cancelled.Load()
 	r.lock.Lock()
 	if p := r.pools[e.pool]; p != nil {
 		p.Finish(now, e.inFlight, upstreamFailed && !contextDone)
@@ -449,12 +462,12 @@
 		r.logger.Emit(hwevent.UpstreamFailed,
 			hwevent.With("request-id", e.info.ID),
 			hwevent.With("upstream", e.choice.Upstream.ID),
-			hwevent.With("broken", connectionFailed),
+			hwevent.With("broken", broken != nil),
 			hwevent.With("trouble", e.choice.RecentFailures))
 	}
-	if connectionFailed && !contextDone {
+	if broken != nil && !contextDone {
 		r.transport.CloseIdleConnections(e.choice.Upstream.Address)
-		r.recordCrashSuspect(ctx, now, e, e.choice.Upstream.ID, e.choice.Upstream.Address)
+		e.crashCheck = r.recordCrashSuspect(ctx, now, e, broken)
 	}
 }
 
--- a/lib/hwforward/segment_crash_test.go
+++ b/lib/hwforward/segment_crash_test.go
@@ -13,6 +13,10 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/hickorywick/hickorywick/lib/hwforward"
+	"github.com/hickorywick/hickorywick/lib/hwprompt"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 )
 
 const (
@@ -91,3 +95,124 @@
 	assert.LessOrEqual(t, c.crashes.Load(), int32(3), "crashed upstreams")
 	assert.LessOrEqual(t, c.guilty.Load(), int32(3), "requests that reached upstreams")
 }
+
+// The second engine crashed as well, because the request was sent there although it might have crashed the first one.
+func TestARequestThatMayHaveCrashedItsUpstreamIsNotSentAgain(t *testing.T) {
+	c := newCrashingFleet(t, 3)
+	got := c.send(crashingSegment)
+	assert.Equal(t, http.StatusBadGateway, got.status, "nothing is promised about whether it ran")
+	assert.EqualValues(t, 1, c.guilty.Load())
+}
+
+// A connection that breaks at a healthy upstream says nothing about the prompt.
+func TestARequestWhoseConnectionBrokeIsSentAgain(t *testing.T) {
+	f := newFixture(t, abortConnection, respondEvents)
+	for range 4 {
+		got := f.call(http.MethodPost, "/resumable/1", "x", "X-Segments", "1,2,3")
+		assert.Equal(t, http.StatusOK, got.status)
+	}
+	assert.NotContains(t, f.log.String(), "upstream-crashed")
+}
+
+// Innocent requests that wait at an upstream when it crashes are answered by another one, because their segments were answered before.
+func TestInnocentRequestsAtACrashedUpstreamAreSentAgain(t *testing.T) {
+	var crash sync.Once
+	crashed := make(chan struct{})
+	var f *fixture
+	handler := func(i int) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("X-Wait") != "" {
+				first := false
+				crash.Do(func() {
+					first = true
+					_ = f.upstreams[i].Listener.Close()
+					close(crashed)
+					go f.upstreams[i].CloseClientConnections()
+				})
+				if first {
+					panic(http.ErrAbortHandler)
+				}
+			}
+			respondEvents(w, r)
+		}
+	}
+	f = newFixture(t, handler(0), handler(1))
+	assert.Equal(t, http.StatusOK, f.call(http.MethodPost, "/resumable/1", "x", "X-Segments", "1,2,3").status)
+	got := f.call(http.MethodPost, "/resumable/1", "x", "X-Segments", "1,2,4", "X-Wait", "1")
+	<-crashed
+	assert.Equal(t, http.StatusOK, got.status)
+	assert.Eventually(t, func() bool { return strings.Contains(f.log.String(), "upstream-crashed") }, 2*time.Second, time.Millisecond)
+}
+
+// An upstream that drains closes its connections and takes no new ones, as a crashed one does.
+func TestTheEndOfADrainingUpstreamIsNoCrash(t *testing.T) {
+	var f *fixture
+	exit := func(i int) http.HandlerFunc {
+		return func(http.ResponseWriter, *http.Request) {
+			list := slices.Clone(f.list)
+			list[i].Draining = true
+			f.router.SetUpstreams(f.clock.now(), list)
+			_ = f.upstreams[i].Listener.Close()
+			go f.upstreams[i].CloseClientConnections()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	f = newFixture(t, exit(0), exit(1), exit(2))
+	for range 3 {
+		f.call(http.MethodPost, "/stream/1", "x", "X-Segments", "1,7,8")
+		time.Sleep(crashSettleTime)
+	}
+	assert.Contains(t, f.log.String(), "upstream-crashed", "the connections broke")
+	assert.NotContains(t, f.log.String(), "segment-quarantined")
+}
+
+// Requests with the segment that wait at other upstreams when it is quarantined are cancelled, before they crash these too.
+func TestWaitingRequestsWithAQuarantinedSegmentAreCancelled(t *testing.T) {
+	cancelled := make(chan struct{}, 1)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.Header.Get("X-Segments"), "7") {
+			respondEvents(w, r)
+			return
+		}
+		// The server notices a closed connection only once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		cancelled <- struct{}{}
+	})
+	ended := make(chan callResult, 1)
+	go func() { ended <- f.call(http.MethodPost, "/resumable/1", "x", "X-Segments", "1,7,8") }()
+	assert.Eventually(t, func() bool { return f.requestCounts[0].Load() == 1 }, 2*time.Second, time.Millisecond)
+	now := f.clock.now()
+	var reports []hwquarantine.SegmentReport
+	for upstream := range hwquarantine.UpstreamHash(3) {
+		reports = append(reports, hwquarantine.SegmentReport{
+			Segment:  f.segment(crashingSegment),
+			Kind:     hwquarantine.SegmentCrashed,
+			At:       now,
+			Upstream: upstream,
+		})
+	}
+	f.router.ApplyPeerUpdate(now, "peer", hwforward.PeerUpdate{SegmentReports: reports})
+	got := <-ended
+	assert.Equal(t, http.StatusBadGateway, got.status, "it was sent, so nothing is promised")
+	<-cancelled
+	assert.EqualValues(t, 1, f.requestCounts[0].Load(), "it is not sent again")
+	assert.Equal(t, http.StatusServiceUnavailable, f.call(http.MethodPost, "/resumable/1", "x", "X-Segments", "1,7,9").status)
+	assert.Equal(t, http.StatusOK, f.call(http.MethodPost, "/resumable/1", "x", "X-Segments", "1,2,9").status)
+}
+
+// segment returns the segment with an ID in the prompts of the test's model.
+func (f *fixture) segment(id uint64) hwquarantine.Segment {
+	content := hwprompt.New("m", 0, []hwprompt.Segment{{ID: id}, {ID: 1}}).SharedContent()
+	return hwquarantine.Segment(content[0])
+}
+
+// A router that is cut off sees all its upstreams fall silent at once. It must not put its callers' segments away when it returns.
+func TestSilentUpstreamsAreNoEvidenceAgainstSegments(t *testing.T) {
+	f := newFixture(t, respondEvents, respondEvents, respondEvents)
+	now := f.clock.now()
+	for _, u := range f.list {
+		f.router.RecordSilence(now, u, f.segment(5))
+	}
+	assert.Empty(t, f.router.TakePeerUpdate(now).SegmentReports)
+}
--- /dev/null
+++ b/lib/hwforward/segments.go
@@ -0,0 +1,162 @@
+package hwforward
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwerror"
+	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
+)
+
+const (
+	// survivedParts is how many parts of an answer must arrive to show that the upstream has survived its beginning: a crash may still let the first one out.
+	survivedParts = 2
+	// cancelCrashes is the number of crashes from which unanswered requests with a quarantined segment are cancelled. With fewer, an answer to one of them may still show that the segment is innocent.
+	cancelCrashes = 3
+	// trialPeerTimeout is how long ago a peer's last update may be for the peer to take part in turns.
+	trialPeerTimeout = 2 * time.Second
+)
+
+// decideSegments refuses the request if one of its segments is quarantined and no trial is due. The lock must be held.
+func (e *exchange) decideSegments(now time.Time) *hwerror.RequestError {
+	r := e.router
+	verdict := r.segments.Decide(now, e.segments, func(segment hwquarantine.Segment, turn int) bool {
+		return hwquarantine.TrialOwner(r.liveRouters(now), segment, turn) == r.settings.Instance
+	})
+	e.trial = verdict.Trial
+	if !verdict.Refused {
+		return nil
+	}
+	return newRefusal(hwerror.KindRequestQuarantined, "upstreams crash at a segment of the prompt").WithRetryAfter(verdict.RetryAfter)
+}
+
+// liveRouters returns the names of this router and of the peers that were heard lately.
+func (r *Router) liveRouters(now time.Time) []string {
+	maps.DeleteFunc(r.peersHeard, func(_ string, at time.Time) bool { return now.Sub(at) > trialPeerTimeout })
+	return append(slices.Collect(maps.Keys(r.peersHeard)), r.settings.Instance)
+}
+
+// refuseQuarantined decides again, before each attempt, about a request whose segments may have been quarantined since it was admitted. The lock must be held.
+func (e *exchange) refuseQuarantined(now time.Time) *hwerror.RequestError {
+	if _, quarantined := e.router.segments.Quarantined(e.segments); !quarantined {
+		return nil
+	}
+	if e.executions > 0 {
+		return hwerror.NewFailure(hwerror.KindUpstreamFailed, hwerror.ExecutionUnknown, hwevent.RequestFailed.Number, "upstreams crash at a segment of the prompt", nil)
+	}
+	if e.trial && e.attempts > 0 {
+		// The trial has begun, and no upstream has executed it yet.
+		return nil
+	}
+	return e.decideSegments(now)
+}
+
+// beginTrial records that the request is sent as a trial. The lock must be held.
+func (r *Router) beginTrial(now time.Time, e *exchange) {
+	r.segments.BeginTrial(now, e.segments)
+	r.logger.Emit(hwevent.SegmentTried, hwevent.With("request-id", e.info.ID), hwevent.With("upstream", e.choice.Upstream.ID), hwevent.With("segments", hexList(e.segments[:min(len(e.segments), maxLoggedSegments)])))
+}
+
+// isCulpritSuspect reports whether the last attempt may have crashed its upstream, or would have if it had not been cancelled: the upstream did crash, and a segment of the prompt was never answered. A second upstream could then crash as well. Requests whose segments have all been answered are not suspects; they only happened to be there.
+func (e *exchange) isCulpritSuspect(ctx context.Context, result attemptResult) bool {
+	if e.cancelled.Load() {
+		return true
+	}
+	check := e.crashCheck
+	e.crashCheck = nil
+	if check == nil || e.answered || result.unsent {
+		return false
+	}
+	r := e.router
+	r.lock.Lock()
+	innocent := r.segments.AllAnswered(e.segments)
+	r.lock.Unlock()
+	if innocent {
+		return false
+	}
+	select {
+	case <-check:
+	case <-ctx.Done():
+		return false
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.segments.Suspected(e.segments)
+}
+
+// recordAnswered records that the upstream has survived the beginning of the answer.
+func (e *exchange) recordAnswered() {
+	if e.answered || len(e.segments) == 0 {
+		return
+	}
+	r := e.router
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	e.answered = true
+	delete(r.unanswered, e)
+	now := r.clock.Now()
+	r.applySegmentChanges(r.segments.RecordAnswer(now, e.segments))
+}
+
+// watchAttempt makes it possible to cancel the attempt until the request is answered.
+func (r *Router) watchAttempt(e *exchange, cancel context.CancelFunc) {
+	if e.answered || len(e.segments) == 0 {
+		return
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.unanswered[e] = cancel
+}
+
+func (r *Router) unwatchAttempt(e *exchange) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	delete(r.unanswered, e)
+}
+
+// recordSegmentCrash records a crash against the segments of the suspects that had no answer. The lock must be held.
+func (r *Router) recordSegmentCrash(now time.Time, suspects []crashSuspect) {
+	for _, s := range suspects {
+		if !s.answered && !s.silent {
+			r.applySegmentChanges(r.segments.RecordCrash(now, s.at, hwquarantine.UpstreamHash(hwplace.HashID(s.address)), s.segments))
+		}
+	}
+}
+
+// takeSegmentReports returns the reports for the next update to the peers. The lock must be held.
+func (r *Router) takeSegmentReports(now time.Time) []hwquarantine.SegmentReport {
+	reports, changes := r.segments.Reports(now, maxSegmentReportsPerUpdate)
+	r.applySegmentChanges(changes)
+	return reports
+}
+
+// mergeSegmentReports adds a peer's reports. The lock must be held.
+func (r *Router) mergeSegmentReports(now time.Time, peer string, reports []hwquarantine.SegmentReport) {
+	r.peersHeard[peer] = now
+	r.applySegmentChanges(r.segments.Merge(now, reports))
+}
+
+// applySegmentChanges logs changes of the quarantine and cancels the unanswered requests that would crash further upstreams. The lock must be held.
+func (r *Router) applySegmentChanges(changes []hwquarantine.SegmentChange) {
+	for _, c := range changes {
+		event := hwevent.SegmentReleased
+		if c.Quarantined {
+			event = hwevent.SegmentQuarantined
+		}
+		r.logger.Emit(event, hwevent.With("segment", c.Segment.String()), hwevent.With("crashes", c.Crashes))
+	}
+	if r.segments.QuarantinedCount() == 0 {
+		return
+	}
+	for e, cancel := range r.unanswered {
+		if crashes, quarantined := r.segments.Quarantined(e.segments); quarantined && crashes >= cancelCrashes && !e.trial {
+			delete(r.unanswered, e)
+			e.cancelled.Store(true)
+			cancel()
+		}
+	}
+}
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,6 +38,17 @@
 	// deadline is when the response must be complete.
 	deadline    time.Time
 	fingerprint hwquarantine.Fingerprint
+	// segments are those of the prompt that other requests may share.
+	segments []hwquarantine.Segment
+	// trial is set if the request is sent although one of its segments is quarantined.
+	trial bool
+	// answered is set once an upstream has survived the beginning of the answer; progressCount counts the parts of answers that have arrived.
+	answered      bool
+	progressCount int
+	// cancelled is set if the attempt was cancelled because a segment was quarantined.
+	cancelled atomic.Bool
+	// crashCheck is closed once it is known whether the upstream of the last attempt has crashed, or nil.
+	crashCheck <-chan struct{}
 
 	// executions is the number of attempts in which an upstream may have executed the request; attempts is the number of all attempts.
 	executions int
@@ -187,12 +199,18 @@
 	e.prompt = hwprompt.New(e.info.Model, e.info.PromptTokens, e.info.PromptParts)
 	e.cost = float64(e.info.PromptTokens) + r.settings.GeneratedTokenWeight*float64(e.info.MaxOutputTokens)
 	e.fingerprint = e.requestFingerprint()
+	for _, hash := range e.prompt.SharedContent() {
+		e.segments = append(e.segments, hwquarantine.Segment(hash))
+	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	e.pool = route.PickPool(r.random.Float64())
 	if _, quarantined := r.quarantine.Quarantined(now, e.fingerprint); quarantined {
 		return newRefusal(hwerror.KindRequestQuarantined, "the request has crashed several upstreams")
 	}
+	if refusal := e.decideSegments(now); refusal != nil {
+		return refusal
+	}
 	r.retryBudget(now, e.pool).Deposit(now)
 	return nil
 }
--- a/lib/hwforward/stream.go
+++ b/lib/hwforward/stream.go
@@ -27,19 +27,20 @@
 	case err == nil:
 		// The end of the response body is still to be written, possibly long after the last event.
 		e.extendWriteDeadline()
-		e.finishAttempt(ctx, false, false)
+		e.finishAttempt(ctx, false, nil)
 		response.ReleaseConnection(e.router.clock.Now())
 		e.logEnd(nil)
 		e.router.clearCrashReports(e.router.clock.Now(), e.fingerprint)
+		e.recordAnswered()
 		return attemptResult{
 			outcome: done,
 		}
 	case errors.As(err, &writeErr):
-		e.finishAttempt(ctx, false, false)
+		e.finishAttempt(ctx, false, nil)
 		e.logEnd(nil)
 		panic(http.ErrAbortHandler)
 	}
-	e.finishAttempt(ctx, true, true)
+	e.finishAttempt(ctx, true, err)
 	e.excluded = append(e.excluded, e.choice.Upstream.ID)
 	return attemptResult{
 		outcome: failed,
@@ -127,6 +128,9 @@
 		return buffer, nil
 	}
 	e.recordProgress()
+	if e.progressCount++; e.progressCount >= survivedParts {
+		e.recordAnswered()
+	}
 	return buffer, e.writeStream(response, out)
 }
 
--- a/lib/hwforward/whole.go
+++ b/lib/hwforward/whole.go
@@ -31,7 +31,7 @@
 	r := e.router
 	body, err := readLimited(response.Body, response.Length, maxResponseBytes, e.reserveMemory)
 	if err != nil {
-		e.finishAttempt(ctx, true, true)
+		e.finishAttempt(ctx, true, err)
 		e.excluded = append(e.excluded, e.choice.Upstream.ID)
 		return attemptResult{
 			outcome: failed,
@@ -46,7 +46,7 @@
 		signed: info.Signed,
 	}
 	if reason := e.rejectionReason(buffered); reason != "" {
-		e.finishAttempt(ctx, true, false)
+		e.finishAttempt(ctx, true, nil)
 		e.excluded = append(e.excluded, e.choice.Upstream.ID)
 		return attemptResult{
 			outcome: failed,
@@ -57,7 +57,7 @@
 	}
 	e.recordProgress()
 	serverError := buffered.status >= http.StatusInternalServerError
-	e.finishAttempt(ctx, serverError, false)
+	e.finishAttempt(ctx, serverError, nil)
 	if serverError {
 		e.excluded = append(e.excluded, e.choice.Upstream.ID)
 		return attemptResult{
@@ -70,6 +70,9 @@
 	}
 	e.writeBuffered(buffered)
 	r.clearCrashReports(r.clock.Now(), e.fingerprint)
+	if buffered.status < http.StatusMultipleChoices {
+		e.recordAnswered()
+	}
 	return attemptResult{
 		outcome: done,
 	}
--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -247,6 +247,19 @@
 			MinUpstreams:    2,
 			MaxFingerprints: 100,
 		},
+		Segments: hwquarantine.SegmentSettings{
+			MinCrashes:         2,
+			MinCrashesAnswered: 5,
+			SuspicionTTL:       time.Minute,
+			QuarantineTTL:      time.Hour,
+			FirstTrialDelay:    5 * time.Second,
+			TrialBackoff:       8,
+			MaxTrials:          3,
+			TrialTurn:          3 * time.Second,
+			MaxSegments:        1000,
+			AnsweredSegments:   1 << 10,
+		},
+		Instance: "r0",
 	}
 	change(&chosen)
 	f.router = hwforward.New(chosen, hwforward.Dependencies{
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -88,6 +88,8 @@
 	Random float64
 	// MaxWait excludes upstreams with a longer estimated wait; 0 is no limit.
 	MaxWait time.Duration
+	// LeastLoaded chooses the upstream with the fewest requests, where a crash would hit the fewest.
+	LeastLoaded bool
 }
 
 // Choice is a chosen upstream with the estimates on which the choice was based.
@@ -313,6 +315,10 @@
 		if id == affinity {
 			score -= p.settings.AffinityDiscountRatio * float64(choice.PrefillTokens) / p.prefill.tokensPerMS
 		}
+		if request.LeastLoaded {
+			requests, _ := p.currentLoad(now, s)
+			score += leastLoadedPenaltyMS * float64(requests)
+		}
 		score += p.jitterRangeMS() * jitter(s.hash, request.Random)
 		if score < lowest {
 			best = choice
@@ -378,6 +384,8 @@
 const (
 	// failurePenaltyMS is the score of one recent failure, in milliseconds: about the delay that a failed request causes its caller.
 	failurePenaltyMS = 400
+	// leastLoadedPenaltyMS is the score of each request at an upstream for a request that goes to the least loaded one, in milliseconds: it outweighs all else.
+	leastLoadedPenaltyMS = 10_000
 	// slotWaitMS is the wait for a slot when all slots are taken and as many requests wait, in milliseconds: the length of a typical stream.
 	slotWaitMS = 2000
 	// fullBatchPenaltyMS is the score of an engine with all slots taken, in milliseconds: token generation slows down with the number of running requests.
--- /dev/null
+++ b/lib/hwquarantine/segment_report.go
@@ -0,0 +1,151 @@
+package hwquarantine
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// SegmentReportKind is what a SegmentReport states.
+type SegmentReportKind int
+
+const (
+	// SegmentCrashed states that an upstream crashed while a request with the segment waited for its answer there.
+	SegmentCrashed SegmentReportKind = iota
+	// SegmentAnswered states that a request with the segment was answered.
+	SegmentAnswered
+	// SegmentTried states that a router began a trial of a quarantined segment, and how many have begun in all.
+	SegmentTried
+)
+
+// SegmentReport is what one router tells the others about a segment.
+type SegmentReport struct {
+	Segment Segment
+	Kind    SegmentReportKind
+	At      time.Time
+	// Upstream is that of a crash. AnsweredBefore states of a crash that the segment had been answered earlier.
+	Upstream       UpstreamHash
+	AnsweredBefore bool
+	Trials         int
+}
+
+const (
+	// sendsPerChange is how many updates include a change, because datagrams get lost.
+	sendsPerChange = 3
+	// resendInterval is the time after which the history of a quarantined segment is sent again, for routers that have started or were cut off meanwhile. A router is silent while it hears the same from a peer.
+	resendInterval = time.Second
+)
+
+// Reports returns the reports for the next update to the peers, at most limit, and what has expired until now.
+func (t *SegmentTracker) Reports(now time.Time, limit int) ([]SegmentReport, []SegmentChange) {
+	if len(t.histories) == 0 {
+		return nil, nil
+	}
+	changes := t.prune(now)
+	var due []Segment
+	for segment, h := range t.histories {
+		if h.unsent > 0 || h.quarantined && now.Sub(h.sentAt) >= resendInterval {
+			due = append(due, segment)
+		}
+	}
+	slices.SortFunc(due, func(a, b Segment) int {
+		return cmp.Or(-cmp.Compare(t.histories[a].unsent, t.histories[b].unsent), t.histories[a].sentAt.Compare(t.histories[b].sentAt), cmp.Compare(a, b))
+	})
+	var reports []SegmentReport
+	for _, segment := range due {
+		h := t.histories[segment]
+		next := h.reports(segment)
+		if len(reports)+len(next) > limit {
+			break
+		}
+		reports = append(reports, next...)
+		h.sentAt = now
+		h.unsent = max(0, h.unsent-1)
+	}
+	return reports, changes
+}
+
+// reports returns the whole history of a segment.
+func (h *segmentHistory) reports(segment Segment) []SegmentReport {
+	reports := make([]SegmentReport, 0, len(h.crashes)+2)
+	if !h.answeredAt.IsZero() {
+		reports = append(reports, SegmentReport{
+			Segment: segment,
+			Kind:    SegmentAnswered,
+			At:      h.answeredAt,
+		})
+	}
+	for _, crash := range h.crashes {
+		reports = append(reports, SegmentReport{
+			Segment:        segment,
+			Kind:           SegmentCrashed,
+			At:             crash.at,
+			Upstream:       crash.upstream,
+			AnsweredBefore: h.answeredBefore,
+		})
+	}
+	if !h.trialAt.IsZero() {
+		reports = append(reports, SegmentReport{
+			Segment: segment,
+			Kind:    SegmentTried,
+			At:      h.trialAt,
+			Trials:  h.trials,
+		})
+	}
+	return reports
+}
+
+// Merge adds the reports of a peer. They may arrive in any order and any number of times.
+func (t *SegmentTracker) Merge(now time.Time, reports []SegmentReport) []SegmentChange {
+	if len(reports) == 0 {
+		return nil
+	}
+	crashes := map[Segment]int{}
+	changed := false
+	for _, r := range reports {
+		if now.Sub(r.At) > t.settings.QuarantineTTL {
+			continue
+		}
+		h := t.history(now, r.Segment)
+		switch r.Kind {
+		case SegmentAnswered:
+			t.answered.add(r.Segment)
+			changed = h.answer(r.At) || changed
+		case SegmentTried:
+			h.addTrial(r.At, r.Trials)
+		case SegmentCrashed:
+			crashes[r.Segment]++
+			h.answeredBefore = h.answeredBefore || r.AnsweredBefore || t.answered.contains(r.Segment)
+			if !r.At.After(h.answeredAt) {
+				// The peer has missed the answer.
+				h.unsent = max(h.unsent, 1)
+				continue
+			}
+			changed = h.addCrash(segmentCrash{upstream: r.Upstream, at: r.At}) || changed
+		}
+	}
+	for segment, count := range crashes {
+		if h := t.histories[segment]; h != nil && count >= len(h.crashes) {
+			h.sentAt = now
+		}
+	}
+	if !changed {
+		return nil
+	}
+	return t.refresh()
+}
+
+// TrialOwner returns which of the routers may begin a trial of a segment in a turn. All routers with the same view of the fleet agree without coordination.
+func TrialOwner(routers []string, segment Segment, turn int) string {
+	owner, highest := "", uint64(0)
+	for _, router := range routers {
+		score := xxhash.Sum64String(strconv.FormatUint(uint64(segment), 16) + "/" + strconv.Itoa(turn) + "/" + router)
+		if owner == "" || score > highest {
+			owner, highest = router, score
+		}
+	}
+	return owner
+}
