--- a/lib/hwforward/cachelist.go
+++ b/lib/hwforward/cachelist.go
@@ -9,6 +9,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwlink"
 	"github.com/hickorywick/hickorywick/lib/hwplace"
 	"github.com/hickorywick/hickorywick/lib/hwprompt"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 )
 
 const (
@@ -45,6 +46,9 @@
 	if p := r.pools[pool]; p != nil {
 		p.RecordCacheList(u.ID, segments)
 	}
+	for _, segment := range segments {
+		r.segments.RecordCached(hwquarantine.Segment(segment.ContentHash()))
+	}
 }
 
 func (r *Router) queryCache(ctx context.Context, address string) ([]hwprompt.CachedSegment, error) {
--- a/lib/hwforward/cachelist_test.go
+++ b/lib/hwforward/cachelist_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 	"github.com/hickorywick/hickorywick/lib/hwtable"
 )
 
@@ -45,3 +46,17 @@
 	require.Equal(t, http.StatusOK, f.call(http.MethodGet, "/safe/1", "", "X-Tokens", "9000").status)
 	assert.Contains(t, f.log.String(), `"read-tokens":9000`)
 }
+
+// A router that starts while a segment crashes engines must not take the segments that come with it for guilty.
+func TestSegmentsThatEnginesListAreNoSuspects(t *testing.T) {
+	f := newFixture(t, respondOK)
+	f.cacheList = "9000"
+	f.useEngines()
+	require.Eventually(t, func() bool { return strings.Contains(f.log.String(), "cache-listed") }, 5*time.Second, time.Millisecond)
+	now := f.clock.now()
+	for upstream := range hwquarantine.UpstreamHash(2) {
+		f.router.RecordCrash(now, upstream, f.segment(1), f.segment(crashingSegment))
+	}
+	assert.Contains(t, f.log.String(), `"segment":"`+f.segment(crashingSegment).String()+`"`)
+	assert.NotContains(t, f.log.String(), `"segment":"`+f.segment(1).String()+`"`)
+}
--- a/lib/hwforward/export_test.go
+++ b/lib/hwforward/export_test.go
@@ -20,3 +20,10 @@
 		},
 	})
 }
+
+// RecordCrash records that an upstream crashed under an unanswered request with the segments.
+func (r *Router) RecordCrash(now time.Time, upstream hwquarantine.UpstreamHash, segments ...hwquarantine.Segment) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.applySegmentChanges(r.segments.RecordCrash(now, now, upstream, segments))
+}
--- a/lib/hwprompt/index.go
+++ b/lib/hwprompt/index.go
@@ -140,11 +140,14 @@
 	Segment
 }
 
+// ContentHash returns the hash by which prompts of the model refer to the segment's content.
+func (s CachedSegment) ContentHash() uint64 { return mix(xxhash.Sum64String(s.Model), s.ID) }
+
 // AddListed records the segments that an upstream states it has cached. They are evicted like those of prompts that were sent there.
 func (x *CacheIndex) AddListed(upstream string, segments []CachedSegment, capacity int) {
 	c := x.cache(upstream)
 	for _, segment := range segments {
-		c.add(mix(xxhash.Sum64String(segment.Model), segment.ID), segment.Tokens, capacity)
+		c.add(segment.ContentHash(), segment.Tokens, capacity)
 	}
 }
 
--- a/lib/hwquarantine/segment.go
+++ b/lib/hwquarantine/segment.go
@@ -197,6 +197,9 @@
 	return t.refresh()
 }
 
+// RecordCached records that an engine has a segment in its cache: it has survived requests with it. Unlike an answer it does not clear the segment of crashes, because the engine may be about to crash under the first one.
+func (t *SegmentTracker) RecordCached(segment Segment) { t.answered.add(segment) }
+
 // history returns the history of a segment, which it creates if necessary.
 func (t *SegmentTracker) history(now time.Time, segment Segment) *segmentHistory {
 	h := t.histories[segment]
--- a/lib/hwquarantine/segment_test.go
+++ b/lib/hwquarantine/segment_test.go
@@ -123,6 +123,16 @@
 	assert.False(t, f.quarantined(common), "it takes more crashes now")
 }
 
+// All routers were killed at once and know of no answers. The segments that came with the guilty one were quarantined with it, although the engines had them in their caches all along.
+func TestSegmentsInTheEnginesCachesAreNotTakenForTheGuiltyOne(t *testing.T) {
+	f := newSegmentFixture()
+	f.RecordCached(alongside)
+	f.crash(0, 1, alongside, guilty)
+	f.crash(100, 2, alongside, guilty)
+	assert.True(t, f.quarantined(guilty))
+	assert.False(t, f.quarantined(alongside))
+}
+
 // A segment that was answered for hours begins to crash upstreams, for example with a new version of the engines.
 func TestAnAnsweredSegmentThatTurnsGuiltyIsQuarantined(t *testing.T) {
 	f := newSegmentFixture()
