hwforward: accounts over their share are refused with 429

Cause: an account that sends more than its share and one that meets a lack of capacity got the same 503, so neither its caller nor anybody who watches can tell them apart.

Change: the kind over-share, status 429, when the account's usage is at or over its fair rate. Who is admitted and when callers return is as before.

--- a/lib/hwerror/refusal.go
+++ b/lib/hwerror/refusal.go
@@ -32,6 +32,7 @@
 	KindBodyTooLarge         Kind = "body-too-large"
 	KindQueueFull            Kind = "queue-full"
 	KindDeadlineCannotBeMet  Kind = "deadline-cannot-be-met"
+	KindOverShare            Kind = "over-share"
 	KindNoUpstream           Kind = "no-upstream"
 	KindNotReady             Kind = "not-ready"
 	KindShuttingDown         Kind = "shutting-down"
@@ -59,6 +60,7 @@
 	KindBodyTooLarge:         http.StatusRequestEntityTooLarge,
 	KindQueueFull:            http.StatusTooManyRequests,
 	KindDeadlineCannotBeMet:  http.StatusServiceUnavailable,
+	KindOverShare:            http.StatusTooManyRequests,
 	KindNoUpstream:           http.StatusServiceUnavailable,
 	KindNotReady:             http.StatusServiceUnavailable,
 	KindShuttingDown:         http.StatusServiceUnavailable,
--- a/lib/hwforward/call.go
+++ b/lib/hwforward/call.go
@@ -82,6 +82,14 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
+// admissionRefusalKind tells callers whether they exceed their share or the fleet lacks capacity: an account within its share can do nothing about the refusal.
+func (e *exchange) admissionRefusalKind() hwerror.Kind {
+	if e.shareUsage >= 1 {
+		return hwerror.KindOverShare
+	}
+	return hwerror.KindDeadlineCannotBeMet
+}
+
 // refusalStatus returns the HTTP status of a refusal. It differs from the status in hwerror only where the status must guarantee to the client that the request was not executed: such refusals use 503.
 func refusalStatus(refusal *hwerror.RequestError) int {
 	switch refusal.Kind {
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -269,7 +269,7 @@
 		latest := now.Add(time.Duration(r.settings.MaxRetryAfterRatio * float64(e.deadline.Sub(now))))
 		retryAfter = e.returnSchedule().Reserve(now.Add(retryAfter), latest, time.Duration(cost)).Sub(now)
 	}
-	return newRefusal(hwerror.KindDeadlineCannotBeMet, reason).WithRetryAfter(retryAfter)
+	return newRefusal(e.admissionRefusalKind(), reason).WithRetryAfter(retryAfter)
 }
 
 // retryCapacityRatio is the part of a pool's capacity that is planned for the retries of refused callers. The rest is for new requests.
@@ -298,7 +298,7 @@
 	if decision.Admitted {
 		return nil
 	}
-	return newRefusal(hwerror.KindDeadlineCannotBeMet, "no upstream took the request, and the wait at the next would be too long").WithRetryAfter(decision.RetryAfter)
+	return newRefusal(e.admissionRefusalKind(), "no upstream took the request, and the wait at the next would be too long").WithRetryAfter(decision.RetryAfter)
 }
 
 // sendOnce sends the request to the selected upstream and handles its response.
