hwforward: only events continue a stream, and a stream that ends inside an event is broken off

Reported by other operators: after a stream broke off, its callers found an error's text in the middle of it, or the stream ended as if complete. It could happen here: a 200 with a signature was relayed into the stream whatever its type, text after the last event was relayed if the body had a length or chunks, and an event without an ID was taken for the next one.

Ruled out: answers of another status, refusals and failures of the router itself; all of them cut the stream already (TestStreamThatCannotBeResumedIsTruncated).

Change: a continuation has the type of the beginning and begins with an event that has an ID (or with comments); what follows the last event must be line ends. An answer of another type on a streaming route is relayed whole, as any other. The endless streams of TestEndlessResponseIsLimited now state their type, without which the stand-in's HTTP server guessed text/plain.

--- a/lib/hwforward/endless_test.go
+++ b/lib/hwforward/endless_test.go
@@ -55,12 +55,12 @@
 		})
 	}
 	t.Run("event", func(t *testing.T) {
-		f := newFixture(t, endlessResponse(http.StatusOK, "data: x"))
+		f := newFixture(t, endlessResponse(http.StatusOK, "data: x", "Content-Type", "text/event-stream"))
 		assert.Equal(t, http.StatusBadGateway, f.call(http.MethodPost, "/stream/1", "x").status)
 		assert.Contains(t, f.log.String(), "an event that is too large")
 	})
 	t.Run("events", func(t *testing.T) {
-		f := newFixture(t, endlessResponse(http.StatusOK, "id: 1\ndata: x\n\n"))
+		f := newFixture(t, endlessResponse(http.StatusOK, "id: 1\ndata: x\n\n", "Content-Type", "text/event-stream"))
 		got := f.call(http.MethodPost, "/resumable/1", "x")
 		assert.False(t, got.complete, "the route's timeout ends the response")
 	})
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"runtime"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwadmit"
@@ -359,27 +358,15 @@
 		return e.refusedByUpstream(ctx, response)
 	}
 	e.executions++
-	if e.route.Streaming && response.Status == http.StatusOK && info.Signed {
-		return e.relayStream(ctx, response)
-	}
-	if e.headerSent {
+	switch {
+	case e.headerSent && !e.continuesStream(response, info):
 		return e.rejectResumption(ctx, response)
+	case e.isStream(response, info):
+		return e.relayStream(ctx, response)
 	}
 	return e.bufferAndRelay(ctx, response, info)
 }
 
-// rejectResumption ends an attempt to resume a stream to which the upstream did not respond with a stream. The client already has the first part of the stream, so nothing of this response may be relayed.
-func (e *exchange) rejectResumption(ctx context.Context, response *hwlink.Response) attemptResult {
-	e.finishAttempt(ctx, true, nil)
-	e.excluded = append(e.excluded, e.choice.Upstream.ID)
-	return attemptResult{
-		outcome: failed,
-		cause: &ResponseError{
-			Reason: "to a resumed stream is not a stream, status " + strconv.Itoa(response.Status),
-		},
-	}
-}
-
 // nonRetryableMaxIdle is the maximum idle time of a connection that is reused for a request that must not be executed twice. Upstreams that drop idle connections without closing them do so after seconds.
 const nonRetryableMaxIdle = 700 * time.Millisecond
 
--- a/lib/hwforward/segment_crash_test.go
+++ b/lib/hwforward/segment_crash_test.go
@@ -64,6 +64,7 @@
 func respondEvents(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Id", r.Header.Get("X-Id"))
 	w.Header().Set("X-Signed", "1")
+	w.Header().Set("Content-Type", "text/event-stream")
 	for n := range 3 {
 		_, _ = io.WriteString(w, fmt.Sprintf("id: %d\ndata: x\n\n", n+1))
 		w.(http.Flusher).Flush()
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -62,6 +62,8 @@
 	// lastEventID is the id of the last event that was relayed; eventCount is the number of relayed events.
 	lastEventID string
 	eventCount  int
+	// resuming is set until the first event of a continuation has arrived.
+	resuming    bool
 	firstByteAt time.Time
 	// writeDeadlineSetAt is when the write deadline of a stream was last extended.
 	writeDeadlineSetAt time.Time
--- a/lib/hwforward/stream.go
+++ b/lib/hwforward/stream.go
@@ -19,8 +19,37 @@
 // streamReadBytes is the size of the buffer for reading a stream. Events are usually smaller.
 const streamReadBytes = 4 << 10
 
+// eventStreamType is the media type of event streams.
+const eventStreamType = "text/event-stream"
+
+// isStream reports whether a response is an event stream. An upstream that states no type is taken at the route's word.
+func (e *exchange) isStream(response *hwlink.Response, info ResponseInfo) bool {
+	contentType := response.Header.Get("Content-Type")
+	return e.route.Streaming && response.Status == http.StatusOK && info.Signed &&
+		(contentType == "" || strings.HasPrefix(contentType, eventStreamType))
+}
+
+// continuesStream reports whether a response can be the continuation of the stream that the client has begun to receive.
+func (e *exchange) continuesStream(response *hwlink.Response, info ResponseInfo) bool {
+	return e.isStream(response, info) && response.Header.Get("Content-Type") == e.writer.Header().Get("Content-Type")
+}
+
+// rejectResumption ends an attempt to resume a stream to which the upstream did not respond with a stream. The client already has the first part of the stream, so nothing of this response may be relayed.
+func (e *exchange) rejectResumption(ctx context.Context, response *hwlink.Response) attemptResult {
+	e.finishAttempt(ctx, true, nil)
+	e.excluded = append(e.excluded, e.choice.Upstream.ID)
+	return attemptResult{
+		outcome: failed,
+		cause: &ResponseError{
+			Reason: "to a resumed stream is not its continuation, status " + strconv.Itoa(response.Status),
+		},
+	}
+}
+
 // relayStream relays an event stream in complete events only. If the stream breaks off inside an event, the client receives no part of that event and the stream can be resumed at another upstream.
 func (e *exchange) relayStream(ctx context.Context, response *hwlink.Response) attemptResult {
+	// Only events with IDs show where a continuation begins.
+	e.resuming = e.lastEventID != ""
 	err := e.relayEvents(response)
 	var writeErr *clientWriteError
 	switch {
@@ -91,9 +120,9 @@
 	}
 }
 
-// relayRemainder relays what follows the last complete event once the body has ended. Without a length or chunked encoding, a remainder means that the stream may have been cut off.
+// relayRemainder handles what follows the last complete event once the body has ended. Anything but line ends means that the upstream broke off inside an event, even if the framing of the body is complete.
 func (e *exchange) relayRemainder(response *hwlink.Response, rest []byte) error {
-	if len(rest) > 0 && response.CloseDelimited() {
+	if len(bytes.Trim(rest, "\r\n")) > 0 {
 		return &ResponseError{
 			Reason: "ends inside an event",
 		}
@@ -115,6 +144,12 @@
 		event := buffer[:end]
 		buffer = buffer[end:]
 		id := eventID(event)
+		if id == "" && e.resuming && !isComment(event) {
+			return nil, &ResponseError{
+				Reason: "to a resumed stream begins without an event ID",
+			}
+		}
+		e.resuming = e.resuming && id == ""
 		if e.alreadyRelayed(id) {
 			continue
 		}
@@ -155,6 +190,16 @@
 	return ""
 }
 
+// isComment reports whether an event consists of comments, which upstreams send to keep a connection alive.
+func isComment(event []byte) bool {
+	for line := range strings.Lines(string(event)) {
+		if text := strings.TrimRight(line, "\r\n"); text != "" && text[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // alreadyRelayed reports whether an event was relayed before, as happens if a resumed stream begins too early.
 func (e *exchange) alreadyRelayed(id string) bool {
 	if id == "" || e.lastEventID == "" {
