hwrouter: only a stream continues a stream

The same report on the OpenAI edge: an answer of any other type to a resumed request was relayed whole, so its text stood in the middle of the caller's stream and the stream ended as if complete.

Change: such an answer fails the attempt; another one may follow within the retry budget, or the caller gets the error event without the end mark, as for any broken stream.

Test: TestAnErrorDoesNotContinueAStream. On the old code the delivery goes on to relay the whole body (run on a scratch copy without the error's type; the bare delivery of the test then has no call to charge and panics).

--- a/lib/hwrouter/relay.go
+++ b/lib/hwrouter/relay.go
@@ -26,10 +26,26 @@
 
 // relay passes an upstream's response to the caller.
 func (d *delivery) relay(id string, response *hwupstream.Response) error {
-	if response.IsStream() {
+	switch {
+	case response.IsStream():
 		return d.relayStream(id, response)
+	case d.headerWritten:
+		return &NoContinuationError{
+			Status: response.Status,
+		}
+	default:
+		return d.relayBuffered(response)
 	}
-	return d.relayBuffered(response)
+}
+
+// NoContinuationError reports that an upstream answered the request for the rest of a stream with something else. None of it may be written into the stream.
+type NoContinuationError struct {
+	Status int
+}
+
+// Error returns a message with the upstream's status.
+func (e *NoContinuationError) Error() string {
+	return "the response to a resumed stream is no stream, status " + strconv.Itoa(e.Status)
 }
 
 func (d *delivery) relayBuffered(response *hwupstream.Response) error {
