hwupstream: a response without an ID is not taken from an upstream that echoes IDs, on a reused connection

The edge makes no promise from it (it claims not-run only without a connection), but the caller got another request's answer.

Change: from an upstream that has echoed an ID once, a response without one on a reused connection is a mismatch. Test: TestALateResponseWithoutAnIDIsNotTakenForTheNextOne, failed before.

--- a/lib/hwupstream/client.go
+++ b/lib/hwupstream/client.go
@@ -93,6 +93,8 @@
 type Client struct {
 	dialTimeout time.Duration
 	transports  sync.Map
+	// echoing holds the upstreams that have echoed an attempt ID.
+	echoing sync.Map
 }
 
 // NewClient returns a client with the given timeout for establishing a connection.
@@ -164,9 +166,12 @@
 func (c *Client) Do(ctx context.Context, attempt Attempt) (*Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	timer := newIdleTimer(attempt.IdleTimeout, cancel)
-	var gotConn atomic.Bool
+	var gotConn, reused atomic.Bool
 	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			gotConn.Store(true)
+			reused.Store(info.Reused)
+		},
 	})
 	request, err := newRequest(tracedCtx, attempt)
 	if err != nil {
@@ -188,7 +193,7 @@
 		idleTimer: timer,
 		cancel:    cancel,
 	}
-	if echoed := httpResponse.Header.Get(AttemptIDHeader); echoed != "" && echoed != attempt.ID {
+	if echoed := httpResponse.Header.Get(AttemptIDHeader); c.isMismatch(attempt, echoed, reused.Load()) {
 		response.Close()
 		c.CloseIdleConnections(attempt.Upstream)
 		return nil, &Error{
@@ -205,6 +210,16 @@
 	return response, nil
 }
 
+// isMismatch reports whether a response belongs to another attempt. Not all upstreams echo the ID. From one that does, a response without it on a reused connection may be a late one to an earlier attempt.
+func (c *Client) isMismatch(attempt Attempt, echoed string, reused bool) bool {
+	if echoed == attempt.ID {
+		c.echoing.Store(attempt.Upstream, true)
+		return false
+	}
+	_, echoes := c.echoing.Load(attempt.Upstream)
+	return echoed != "" || reused && echoes
+}
+
 func newRequest(ctx context.Context, attempt Attempt) (*http.Request, error) {
 	var body io.Reader
 	if len(attempt.Body) > 0 {
