--- a/lib/hwrouter/members.go
+++ b/lib/hwrouter/members.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwtask"
@@ -84,17 +86,25 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, trace.ConnectionProblem(nil, "the instance list endpoint responded with status %d", response.StatusCode)
 	}
-	var groups []targetGroup
+	var groups []json.RawMessage
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxInstanceListBytes)).Decode(&groups); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	return listedInstances(groups), nil
 }
 
-func listedInstances(groups []targetGroup) []hwmember.ListEntry {
+// listedInstances decodes the groups of the list. Groups and targets that are malformed name no instance; the others count.
+func listedInstances(groups []json.RawMessage) []hwmember.ListEntry {
 	var list []hwmember.ListEntry
-	for _, group := range groups {
+	for _, encoded := range groups {
+		var group targetGroup
+		if json.Unmarshal(encoded, &group) != nil {
+			continue
+		}
 		for _, target := range group.Targets {
+			if !isDialable(target) {
+				continue
+			}
 			instance := group.Labels[labelInstance]
 			if instance == "" {
 				instance = target
@@ -110,6 +120,13 @@
 	return list
 }
 
+// isDialable reports whether a target is a host with a port.
+func isDialable(target string) bool {
+	host, portText, err := net.SplitHostPort(target)
+	port, portErr := strconv.ParseUint(portText, 10, 16)
+	return err == nil && portErr == nil && host != "" && port > 0
+}
+
 // updateMembership changes the membership table, then logs the changes and passes the new member list to pools and brokers.
 func (r *Router) updateMembership(change func(now time.Time)) {
 	r.membersLock.Lock()
