hwrouter: quarantine messages of chats at which engines crash

Change: all messages of a chat but the last are its segments; the tracker, its trials and the rule against a second send are those of hwquarantine, and gossip carries the reports. Ruled out: plain prompts and services, which have no parts that the edge could tell apart; they keep the quarantine by request.

Test: scenario 16-crashing-message.

--- a/cmd/hickorywick-standin/internal/hwscript/stage.go
+++ b/cmd/hickorywick-standin/internal/hwscript/stage.go
@@ -189,7 +189,7 @@
 // Log returns the log output of all routers.
 func (s *Scenario) Log() string { return s.log.text() }
 
-// StartRequest sends a request in the background: NAME ROUTER METHOD PATH, with the settings account, key, body, tokens, millis, stream, crash.
+// StartRequest sends a request in the background: NAME ROUTER METHOD PATH, with the settings account, key, body, context, tokens, millis, stream, crash. Context is a comma-separated list of messages before the body in a chat.
 func (s *Scenario) StartRequest(a Arguments) error {
 	name := a.Arg(0)
 	resolved, err := s.resolveRouter(a.Arg(1))
@@ -219,8 +219,14 @@
 	method, path := a.Arg(2), a.Arg(3)
 	body := a.Settings["body"]
 	if path == "/v1/chat/completions" {
-		body = fmt.Sprintf(`{"model":%q,"stream":%v,"messages":[{"role":"user","content":%q}]}`,
-			hwworld.Model, a.Settings["stream"] != "no", body)
+		messages := ""
+		if context := a.Settings["context"]; context != "" {
+			for content := range strings.SplitSeq(context, ",") {
+				messages += fmt.Sprintf(`{"role":"user","content":%q},`, content)
+			}
+		}
+		body = fmt.Sprintf(`{"model":%q,"stream":%v,"messages":[%s{"role":"user","content":%q}]}`,
+			hwworld.Model, a.Settings["stream"] != "no", messages, body)
 	}
 	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
--- a/lib/hwintake/call.go
+++ b/lib/hwintake/call.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
 	"github.com/hickorywick/hickorywick/lib/hwdocument"
 	"github.com/hickorywick/hickorywick/lib/hwerror"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 	"github.com/hickorywick/hickorywick/lib/hwtask"
 )
 
@@ -46,6 +48,8 @@
 	// PrefixHash is a hash of the beginning of the prompt, for routing to a warm prefix cache; 0 means no prompt.
 	PrefixHash uint64
 	BodyHash   uint64
+	// Segments are the messages of a chat that other requests may share: all but the last one.
+	Segments []hwquarantine.Segment
 }
 
 // Gateway routes calls to upstreams.
@@ -109,18 +113,41 @@
 	MaxCompletionTokens float64         `json:"max_completion_tokens"`
 	Messages            json.RawMessage `json:"messages"`
 	Prompt              json.RawMessage `json:"prompt"`
+
+	segments []hwquarantine.Segment
 }
 
 // decodeCompletion parses a completion request in a separate goroutine. The decoder needs a deep stack, which the goroutine that serves the client would keep until the response has been streamed.
 func decodeCompletion(body []byte) (completionRequest, error) {
 	var request completionRequest
 	done := hwtask.Start(context.Background(), func(context.Context) error {
-		return json.NewDecoder(bytes.NewReader(body)).Decode(&request)
+		if err := json.NewDecoder(bytes.NewReader(body)).Decode(&request); err != nil {
+			return err
+		}
+		request.segments = chatSegments(request.Model, request.Messages)
+		return nil
 	})
 	err := <-done
 	return request, err
 }
 
+// chatSegments identifies the messages of a chat that other requests may share. A chat that is no list of messages has none; the engine judges it.
+func chatSegments(model string, encoded json.RawMessage) []hwquarantine.Segment {
+	var messages []json.RawMessage
+	if len(encoded) == 0 || json.Unmarshal(encoded, &messages) != nil || len(messages) < 2 {
+		return nil
+	}
+	segments := make([]hwquarantine.Segment, 0, len(messages)-1)
+	for _, message := range messages[:len(messages)-1] {
+		digest := xxhash.New()
+		// Writing to a digest never fails.
+		_, _ = digest.WriteString(model + "\x00")
+		_, _ = digest.Write(message)
+		segments = append(segments, hwquarantine.Segment(digest.Sum64()))
+	}
+	return segments
+}
+
 // completionCall validates a completion request and fills in the call.
 func completionCall(document *hwdocument.Document, account hwdocument.Account, call *Call) (*Call, *hwerror.RequestError) {
 	request, err := decodeCompletion(call.Body)
@@ -145,6 +172,7 @@
 	call.ResponseTimeout = pool.AnswerTimeout.Std()
 	call.PromptTokens = float64(len(prompt)) / bytesPerToken
 	call.MaxTokens = max(request.MaxTokens, request.MaxCompletionTokens, 0)
+	call.Segments = request.segments
 	call.PrefixHash = xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
 	return call, nil
 }
--- a/lib/hwquarantine/segment_report.go
+++ b/lib/hwquarantine/segment_report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -68,6 +69,31 @@
 	return reports, changes
 }
 
+// All returns the reports about all segments, quarantined ones first and at most limit, for routers that exchange what they know in pairs.
+func (t *SegmentTracker) All(now time.Time, limit int) []SegmentReport {
+	t.prune(now)
+	segments := slices.SortedFunc(maps.Keys(t.histories), func(a, b Segment) int {
+		x, y := t.histories[a], t.histories[b]
+		switch {
+		case y.lessImportantThan(x):
+			return -1
+		case x.lessImportantThan(y):
+			return 1
+		default:
+			return cmp.Compare(a, b)
+		}
+	})
+	var reports []SegmentReport
+	for _, segment := range segments {
+		next := t.histories[segment].reports(segment)
+		if len(reports)+len(next) > limit {
+			break
+		}
+		reports = append(reports, next...)
+	}
+	return reports
+}
+
 // reports returns the whole history of a segment.
 func (h *segmentHistory) reports(segment Segment) []SegmentReport {
 	reports := make([]SegmentReport, 0, len(h.crashes)+2)
--- a/lib/hwrouter/attempt.go
+++ b/lib/hwrouter/attempt.go
@@ -17,6 +17,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	startedAt := time.Now()
+	d.beginTrial(startedAt)
 	response, err := d.send(ctx, id, upstream)
 	if err == nil {
 		err = d.relay(id, response)
@@ -69,6 +70,7 @@
 	}
 	d.logFailure(failure)
 	if failure.ConnectionBroken && d.router.upstreamCrashed(ctx, upstream) {
+		d.recordSegmentCrash(now, upstream)
 		d.router.reportCrash(d.fingerprint, upstream)
 	}
 	return failure
--- a/lib/hwrouter/members.go
+++ b/lib/hwrouter/members.go
@@ -280,12 +280,14 @@
 		DocumentVersion: number,
 		DocumentDigest:  digest,
 		Strikes:         r.quarantine.reportRows(time.Now()),
+		Segments:        r.quarantine.segmentRows(time.Now()),
 	})
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	r.updateMembership(func(now time.Time) { r.table.Merge(now, hwpeer.MembersFromWire(reply.GetMembers())) })
 	r.mergeCrashReports(time.Now(), reply.GetStrikes())
+	r.mergeSegmentRows(time.Now(), reply.GetSegments())
 	r.gossipReceived.Store(true)
 	r.considerPeerDocument(ctx, to.Address, reply.GetDocumentVersion(), reply.GetDocumentDigest())
 	if !reply.GetReached() {
--- a/lib/hwrouter/peers.go
+++ b/lib/hwrouter/peers.go
@@ -19,6 +19,7 @@
 func (r *Router) Gossip(ctx context.Context, in *hwpeerpb.GossipRequest) (*hwpeerpb.GossipReply, error) {
 	r.updateMembership(func(now time.Time) { r.table.Merge(now, hwpeer.MembersFromWire(in.GetMembers())) })
 	r.mergeCrashReports(time.Now(), in.GetStrikes())
+	r.mergeSegmentRows(time.Now(), in.GetSegments())
 	reached := true
 	if in.GetTarget() != "" && in.GetTarget() != r.settings.Instance {
 		row, known := r.lookupMember(in.GetTarget())
@@ -40,6 +41,7 @@
 		DocumentVersion: number,
 		DocumentDigest:  digest,
 		Strikes:         r.quarantine.reportRows(time.Now()),
+		Segments:        r.quarantine.segmentRows(time.Now()),
 	}, nil
 }
 
--- a/lib/hwrouter/quarantine.go
+++ b/lib/hwrouter/quarantine.go
@@ -23,10 +23,11 @@
 	crashDialTimeout       = 250 * time.Millisecond
 )
 
-// quarantine tracks requests that were in flight when upstreams crashed. It is safe for concurrent use.
+// quarantine tracks requests, and segments of their prompts, that were in flight when upstreams crashed. It is safe for concurrent use.
 type quarantine struct {
-	lock    sync.Mutex
-	tracker *hwquarantine.CrashTracker
+	lock     sync.Mutex
+	tracker  *hwquarantine.CrashTracker
+	segments *hwquarantine.SegmentTracker
 }
 
 func newQuarantine() *quarantine {
@@ -36,6 +37,7 @@
 			MinUpstreams:    quarantineMinUpstreams,
 			MaxFingerprints: maxCrashFingerprints,
 		}),
+		segments: hwquarantine.NewSegmentTracker(segmentSettings),
 	}
 }
 
--- a/lib/hwrouter/serve.go
+++ b/lib/hwrouter/serve.go
@@ -24,6 +24,10 @@
 	writer http.ResponseWriter
 	// fingerprint identifies the request in crash reports.
 	fingerprint hwquarantine.Fingerprint
+	// trial reports that the request is sent although a segment of its prompt is quarantined. answered reports that an upstream has survived the beginning of the answer; relayedEvents counts its events.
+	trial         bool
+	answered      bool
+	relayedEvents int
 	// receivedAt is when the request arrived, firstByteAt when the response header was written.
 	receivedAt  time.Time
 	firstByteAt time.Time
@@ -75,6 +79,9 @@
 	}
 	d.pool.depositRetry(time.Now())
 	requestErr := r.quarantine.check(time.Now(), d.fingerprint)
+	if requestErr == nil {
+		requestErr = d.checkSegments(time.Now())
+	}
 	switch {
 	case requestErr != nil:
 	case call.IdempotencyKey == "" || call.Idempotent:
@@ -89,6 +96,7 @@
 		return
 	}
 	r.clearCrashReport(d.fingerprint)
+	d.recordAnswered()
 	r.metrics.outcomes.Add(string(hwerror.ExecutionRan), 1)
 }
 
@@ -185,7 +193,7 @@
 		Resumable:          d.call.Pool.ResumesStreams && d.lastEventID != "",
 		ClientDisconnected: ctx.Err() != nil || d.callerGone,
 	})
-	if d.router.quarantine.check(time.Now(), d.fingerprint) != nil {
+	if d.router.quarantine.check(time.Now(), d.fingerprint) != nil || d.mayHaveCrashedUpstream() {
 		return false
 	}
 	if next == hwretry.Stop || !d.pool.withdrawRetry(time.Now()) {
