Upstreams that say in answers that they leave, or ask for a pause, get no further requests

Server-Leaving and Retry-After on a 503 are new on the platform, and nothing read them.

Change: platform/ decodes both into ResponseInfo. hwplace keeps what an upstream says by its lifetime (id, address, start), apart from lists and configurations, and excludes it from the moment the head of an answer has arrived, whatever becomes of the answer. A pause ends at its time; a later one extends it; after it the upstream gets work in steps over two seconds. A request whose connection was being opened meanwhile is withheld before its first byte. Peers hear of a leaving upstream; their word holds for 5 s and an answer without it refutes it. When all upstreams of a pool pause, callers are refused at once with the earliest end, spread over a second, and shares and return schedules see the smaller pool.

--- a/lib/hwfleet/datagram.go
+++ b/lib/hwfleet/datagram.go
@@ -92,6 +92,9 @@
 			Trials:         uint32(r.Trials),
 		})
 	}
+	for _, hash := range update.Leaving {
+		datagram.Leaving = append(datagram.Leaving, uint64(hash))
+	}
 	return datagram
 }
 
@@ -155,6 +158,9 @@
 			Trials:         boundedCount(r.GetTrials()),
 		})
 	}
+	for _, hash := range datagram.GetLeaving() {
+		update.Leaving = append(update.Leaving, hwplace.LifetimeHash(hash))
+	}
 	return update
 }
 
--- a/lib/hwforward/call.go
+++ b/lib/hwforward/call.go
@@ -52,6 +52,11 @@
 	NotExecuted bool
 	// Load is the load that the upstream reports, or nil.
 	Load *hwplace.Load
+	// Leaving reports whether the upstream states that it leaves.
+	Leaving bool
+	// Pause is for how long the upstream wants no requests of this router, or 0. UnusablePause reports that it states a time that can't be read.
+	Pause         time.Duration
+	UnusablePause bool
 }
 
 // Protocol translates between the headers of clients and upstreams and the router's types.
--- a/lib/hwforward/metrics.go
+++ b/lib/hwforward/metrics.go
@@ -143,7 +143,10 @@
 	_, _ = fmt.Fprintf(w, "hickorywick_quarantined_segments %d\n", r.segments.QuarantinedCount())
 	for _, name := range slices.Sorted(maps.Keys(r.pools)) {
 		tokensPerMS, requestMS := r.pools[name].LearnedRates()
-		_, _ = fmt.Fprintf(w, "hickorywick_pool_upstreams{pool=%q} %d\n", name, r.pools[name].ActiveUpstreams())
+		leaving, pausing := r.pools[name].Unavailable(now)
+		_, _ = fmt.Fprintf(w, "hickorywick_pool_upstreams_leaving{pool=%q} %d\n", name, leaving)
+		_, _ = fmt.Fprintf(w, "hickorywick_pool_upstreams_pausing{pool=%q} %d\n", name, pausing)
+		_, _ = fmt.Fprintf(w, "hickorywick_pool_upstreams{pool=%q} %d\n", name, r.pools[name].ActiveUpstreams(now))
 		_, _ = fmt.Fprintf(w, "hickorywick_pool_tokens_per_millisecond{pool=%q} %.1f\n", name, tokensPerMS)
 		_, _ = fmt.Fprintf(w, "hickorywick_pool_request_milliseconds{pool=%q} %.1f\n", name, requestMS)
 	}
--- a/lib/hwforward/news.go
+++ b/lib/hwforward/news.go
@@ -28,6 +28,8 @@
 	Strikes      []hwquarantine.CrashReport
 	// SegmentReports are about segments of prompts at which upstreams crash.
 	SegmentReports []hwquarantine.SegmentReport
+	// Leaving are the upstreams that have told this router lately that they leave.
+	Leaving []hwplace.LifetimeHash
 }
 
 // Limits on the contents of one update.
@@ -65,6 +67,7 @@
 	update.Prefills, r.pendingUpdate.Prefills = splitAt(r.pendingUpdate.Prefills, maxPrefillsPerUpdate)
 	update.Strikes, r.pendingUpdate.Strikes = splitAt(r.pendingUpdate.Strikes, maxCrashReportsPerUpdate)
 	update.SegmentReports = r.takeSegmentReports(now)
+	update.Leaving = r.notices.LeavingToShare(now)
 	return update
 }
 
@@ -96,4 +99,5 @@
 	}
 	r.mergeCrashReports(now, update.Strikes, false)
 	r.mergeSegmentReports(now, peer, update.SegmentReports)
+	r.applyPeerLeaving(now, update.Leaving)
 }
--- a/lib/hwforward/quarantine.go
+++ b/lib/hwforward/quarantine.go
@@ -91,13 +91,16 @@
 	}
 	now := r.clock.Now()
 	suspects := r.confirmCrash(now, upstream.ID)
-	if r.isServing(upstream) {
+	if r.isServing(now, upstream) {
 		r.recordSegmentCrash(now, suspects)
 	}
 }
 
 // isServing reports whether an upstream is listed and not draining: one that leaves also closes its connections and accepts no new ones. The lock must be held.
-func (r *Router) isServing(upstream hwplace.Upstream) bool {
+func (r *Router) isServing(now time.Time, upstream hwplace.Upstream) bool {
+	if p := r.pools[upstream.Pool]; p != nil && p.IsLeaving(now, upstream) {
+		return false
+	}
 	return slices.ContainsFunc(r.upstreams[upstream.Pool], func(u hwplace.Upstream) bool {
 		return u.ID == upstream.ID && !u.Draining
 	})
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -101,6 +101,8 @@
 	// returnSchedules is keyed by pool.
 	returnSchedules map[string]*hwadmit.ReturnSchedule
 	quarantine      *hwquarantine.CrashTracker
+	// notices are what upstreams have said of themselves in answers.
+	notices *hwplace.Notices
 	// upstreams is the current list of upstreams by pool.
 	upstreams map[string][]hwplace.Upstream
 	// cachesListed contains the pools whose engines were asked for the contents of their caches.
@@ -137,6 +139,7 @@
 		shares:          hwadmit.NewFairShares(settings.ShareWindow),
 		returnSchedules: map[string]*hwadmit.ReturnSchedule{},
 		quarantine:      hwquarantine.New(settings.Quarantine),
+		notices:         hwplace.NewNotices(),
 		pendingChecks:   map[string]chan struct{}{},
 		segments:        hwquarantine.NewSegmentTracker(settings.Segments),
 		unanswered:      map[*exchange]func(){},
@@ -233,7 +236,7 @@
 		r.logger.Emit(hwevent.UpstreamListed, hwevent.With("upstream", id), hwevent.With("pool", name))
 	}
 	for _, id := range draining {
-		r.logger.Emit(hwevent.UpstreamLeaving, hwevent.With("upstream", id), hwevent.With("pool", name))
+		r.logLeaving(id, name, "list")
 	}
 	// An upstream that was removed or restarted is assumed to have crashed.
 	for _, id := range append(removed, added...) {
@@ -261,7 +264,7 @@
 	if config.Engine != nil {
 		cacheTokens = config.Engine.CacheTokens
 	}
-	p := hwplace.New(r.settings.Placement, cacheTokens)
+	p := hwplace.New(r.settings.Placement, r.notices, cacheTokens)
 	p.SetUpstreams(r.upstreams[name])
 	r.pools[name] = p
 	return p
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -190,7 +190,7 @@
 		if e.executions > 0 {
 			return hwerror.NewFailure(hwerror.KindUpstreamFailed, hwerror.ExecutionUnknown, hwevent.RequestFailed.Number, "no other upstream is left", nil)
 		}
-		return newRefusal(hwerror.KindNoUpstream, "the pool has no upstream").WithRetryAfter(noUpstreamRetryAfter)
+		return e.refuseWithoutUpstream(now, pool)
 	}
 	e.choice = choice
 	switch {
@@ -264,7 +264,7 @@
 	retryAfter := decision.RetryAfter
 	if pool.HasEngines() && e.shareUsage < 1 {
 		// The retries of all routers share the part of the pool that is planned for them.
-		cost := float64(e.choice.PrefillTime) * float64(r.shares.ReportingRouters(now)) / (retryCapacityRatio * float64(max(1, pool.ActiveUpstreams())))
+		cost := float64(e.choice.PrefillTime) * float64(r.shares.ReportingRouters(now)) / (retryCapacityRatio * float64(max(1, pool.ActiveUpstreams(now))))
 		latest := now.Add(time.Duration(r.settings.MaxRetryAfterRatio * float64(e.deadline.Sub(now))))
 		retryAfter = e.returnSchedule().Reserve(now.Add(retryAfter), latest, time.Duration(cost)).Sub(now)
 	}
@@ -323,11 +323,16 @@
 		}),
 		Body:            e.body,
 		MaxConnIdleTime: e.maxConnIdleTime(),
+		Withhold:        e.isUpstreamUnavailable,
 		NewConnection:   slices.Contains(e.excluded, e.choice.Upstream.ID),
 		ID:              e.info.ID,
 		IDHeader:        r.protocol.RequestIDHeader(),
 	})
 	if exchangeErr != nil {
+		var withheld *hwlink.WithheldError
+		if errors.As(exchangeErr, &withheld) {
+			return e.endWithheldAttempt(ctx, exchangeErr)
+		}
 		if exchangeErr.MaybeSent {
 			e.executions++
 		} else if ctx.Err() == nil {
@@ -347,13 +352,7 @@
 	}
 	defer response.Close()
 	info := r.protocol.ParseResponse(response.Status, response.Header)
-	if info.Load != nil {
-		r.lock.Lock()
-		if p := r.pools[e.pool]; p != nil {
-			p.RecordLoad(r.clock.Now(), e.choice.Upstream.ID, *info.Load)
-		}
-		r.lock.Unlock()
-	}
+	r.recordResponseInfo(e.pool, e.choice.Upstream, info)
 	if info.NotExecuted {
 		return e.refusedByUpstream(ctx, response)
 	}
--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -25,7 +25,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwtable"
 )
 
-// testProtocol uses short headers: X-Id, X-Key, X-Left, X-Account, X-Expect, X-Signed, X-Not-Run, Last-Event-Id.
+// testProtocol uses short headers: X-Id, X-Key, X-Left, X-Account, X-Expect, X-Signed, X-Not-Run, X-Leaving, X-Pause (in seconds), Last-Event-Id.
 type testProtocol struct{}
 
 func (testProtocol) RequestIDHeader() string { return "X-Id" }
@@ -91,9 +91,12 @@
 }
 
 func (testProtocol) ParseResponse(_ int, h http.Header) hwforward.ResponseInfo {
+	pause, _ := strconv.Atoi(h.Get("X-Pause"))
 	return hwforward.ResponseInfo{
 		Signed:      h.Get("X-Signed") != "",
 		NotExecuted: h.Get("X-Not-Run") != "",
+		Leaving:     h.Get("X-Leaving") != "",
+		Pause:       time.Duration(pause) * time.Second,
 	}
 }
 
--- a/lib/hwlink/link.go
+++ b/lib/hwlink/link.go
@@ -50,6 +50,8 @@
 	IDHeader string
 	// MaxConnIdleTime is the longest time for which a reused connection may have been idle; 0 means no limit. An upstream may drop an idle connection silently, and whether it received a request sent after that is unknown. A request that must not be retried therefore had better use a new connection.
 	MaxConnIdleTime time.Duration
+	// Withhold is called once a connection is open, right before the request is sent, which it prevents by returning true. It may be nil.
+	Withhold func() bool
 	// NewConnection requires a new connection, on which no response to an earlier request can arrive.
 	NewConnection bool
 }
@@ -88,6 +90,11 @@
 	return "response has ID " + e.Got + " instead of " + e.Want
 }
 
+// WithheldError is the cause of an ExchangeError when Request.Withhold prevented the request.
+type WithheldError struct{}
+
+func (e *WithheldError) Error() string { return "the request was withheld" }
+
 // FramingError is the cause of an ExchangeError when the head of a response exceeds a limit.
 type FramingError struct {
 	Problem string
@@ -293,6 +300,13 @@
 		}
 		c = opened
 	}
+	if r.Withhold != nil && r.Withhold() {
+		t.putIdle(now, r.Address, c, t.settings.IdleTimeout)
+		return nil, &ExchangeError{
+			Address: r.Address,
+			Cause:   &WithheldError{},
+		}
+	}
 	// When the context ends, a deadline in the past unblocks all reads and writes on the connection.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	resp := &Response{
--- a/lib/hwlink/link_test.go
+++ b/lib/hwlink/link_test.go
@@ -319,3 +319,19 @@
 	sendAt(now.Add(6*time.Second), "4", 0)
 	assert.EqualValues(t, 2, transport.ConnectionsOpened())
 }
+
+// An upstream asked for a pause while a connection to it was opened for another request.
+func TestAWithheldRequestIsNotSentAndKeepsTheConnection(t *testing.T) {
+	transport := newTransport()
+	address := startUpstream(t, echoRequests)
+	withheld := newRequest(address, "1")
+	withheld.Withhold = func() bool { return true }
+	_, failure := roundTrip(transport, withheld)
+	require.NotNil(t, failure)
+	assert.False(t, failure.MaybeSent)
+	assert.False(t, failure.ConnectionFailed)
+	body, failure := roundTrip(transport, newRequest(address, "2"))
+	require.Nil(t, failure)
+	assert.Equal(t, "/a//b/../c?x=%2f body", body, "it is the first request that arrives")
+	assert.EqualValues(t, 1, transport.ConnectionsOpened())
+}
--- a/lib/hwplace/member.go
+++ b/lib/hwplace/member.go
@@ -31,6 +31,8 @@
 	// unreachablePeer is the peer that last failed to connect to the upstream, unreachableAt the time of that failure.
 	unreachablePeer string
 	unreachableAt   time.Time
+	// notice is what the upstream has said of itself, or nil.
+	notice *notice
 }
 
 const (
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -126,6 +126,7 @@
 // Pool holds the upstreams of one pool with the router's estimates of their load, caches and health. It is not safe for concurrent use.
 type Pool struct {
 	settings   Settings
+	notices    *Notices
 	hasEngines bool
 	// cacheCapacity is the number of prompt tokens that an engine is assumed to keep cached.
 	cacheCapacity int
@@ -151,10 +152,11 @@
 	loads      []PeerLoad
 }
 
-// New returns a pool without upstreams. CacheTokens is the size of an engine's KV cache in tokens, or 0 for a plain service.
-func New(settings Settings, cacheTokens int) *Pool {
+// New returns a pool without upstreams. Notices are what all upstreams have said of themselves; pools share them. CacheTokens is the size of an engine's KV cache in tokens, or 0 for a plain service.
+func New(settings Settings, notices *Notices, cacheTokens int) *Pool {
 	return &Pool{
 		settings:           settings,
+		notices:            notices,
 		hasEngines:         cacheTokens > 0,
 		cacheCapacity:      int(float64(cacheTokens) * settings.PrefixCacheRatio),
 		upstreams:          map[string]*upstreamState{},
@@ -190,6 +192,7 @@
 			draining = append(draining, u.ID)
 		}
 		s.upstream = u
+		s.notice = p.notices.find(u.Lifetime())
 	}
 	for id := range p.upstreams {
 		if !listed[id] {
@@ -202,17 +205,6 @@
 	return added, removed, draining
 }
 
-// ActiveUpstreams returns the number of upstreams that are not draining.
-func (p *Pool) ActiveUpstreams() int {
-	count := 0
-	for _, s := range p.upstreams {
-		if !s.upstream.Draining {
-			count++
-		}
-	}
-	return count
-}
-
 // SetPeerLoads replaces the loads that another router reports for this pool.
 func (p *Pool) SetPeerLoads(now time.Time, router string, loads []PeerLoad) {
 	p.removePeerReport(router)
@@ -303,9 +295,9 @@
 	var best Choice
 	lowest := math.Inf(1)
 	holder, cached := p.largestCacheHolder(now, request)
-	affinity := p.affinityUpstream(request.Prompt)
+	affinity := p.affinityUpstream(now, request.Prompt)
 	for id, s := range p.upstreams {
-		if s.upstream.Draining || slices.Contains(request.Excluded, id) {
+		if !s.takesRequests(now) || slices.Contains(request.Excluded, id) {
 			continue
 		}
 		choice, score := p.evaluate(now, s, request, holder, cached)
@@ -393,7 +385,7 @@
 )
 
 // affinityUpstream returns the id of the upstream that rendezvous hashing ranks first for the prompt's shared prefix, or an empty string. All routers agree on it without communication.
-func (p *Pool) affinityUpstream(prompt hwprompt.Prompt) string {
+func (p *Pool) affinityUpstream(now time.Time, prompt hwprompt.Prompt) string {
 	prefixHash, shared := prompt.SharedPrefix()
 	if !shared {
 		return ""
@@ -401,7 +393,7 @@
 	first := ""
 	highest := uint64(0)
 	for id, s := range p.upstreams {
-		if s.upstream.Draining {
+		if s.isLeaving(now) {
 			continue
 		}
 		if score := hwprompt.RendezvousScore(prefixHash, s.hash); first == "" || score > highest {
