hwforward: crash reports of quarantined requests are repeated

The same class of fault in the older quarantine: a report was sent once, so a router that started later, was cut off, or missed that datagram sent a quarantined request to engines again. Change: the reports of quarantined requests go out again every two seconds, within the time that they count. Test: TestPeersThatMissedTheReportsLearnOfQuarantinedRequests; before, the second update has no reports.

--- a/lib/hwforward/news.go
+++ b/lib/hwforward/news.go
@@ -44,6 +44,9 @@
 // usageInterval is the minimum time between two updates that include the accounts' usage. The usage is averaged over seconds, so it changes slowly.
 const usageInterval = 600 * time.Millisecond
 
+// strikeRepeatInterval is the time after which the crash reports of quarantined requests are sent again, for routers that have started or were cut off meanwhile.
+const strikeRepeatInterval = 2 * time.Second
+
 // TakePeerUpdate returns the next update for the peers and removes its contents from what is pending. What exceeds the limits stays pending for the next update.
 func (r *Router) TakePeerUpdate(now time.Time) PeerUpdate {
 	r.lock.Lock()
@@ -66,6 +69,10 @@
 	}
 	update.Prefills, r.pendingUpdate.Prefills = splitAt(r.pendingUpdate.Prefills, maxPrefillsPerUpdate)
 	update.Strikes, r.pendingUpdate.Strikes = splitAt(r.pendingUpdate.Strikes, maxCrashReportsPerUpdate)
+	if now.Sub(r.strikesRepeatedAt) >= strikeRepeatInterval {
+		r.strikesRepeatedAt = now
+		update.Strikes = append(update.Strikes, r.quarantine.QuarantinedReports(now, maxCrashReportsPerUpdate)...)
+	}
 	update.SegmentReports = r.takeSegmentReports(now)
 	update.Leaving = r.notices.LeavingToShare(now)
 	return update
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -119,6 +119,8 @@
 	// pendingUpdate is what has not been sent to the peers yet; usageSentAt is when the accounts' usage was last sent.
 	pendingUpdate PeerUpdate
 	usageSentAt   time.Time
+	// strikesRepeatedAt is when the crash reports of quarantined requests were last repeated.
+	strikesRepeatedAt time.Time
 }
 
 // New returns a router without a table or upstreams.
--- a/lib/hwforward/segment_crash_test.go
+++ b/lib/hwforward/segment_crash_test.go
@@ -217,3 +217,29 @@
 	}
 	assert.Empty(t, f.router.TakePeerUpdate(now).SegmentReports)
 }
+
+// A router that starts, or misses a datagram, knew nothing of the requests that were quarantined before, and sent them to upstreams again.
+func TestPeersThatMissedTheReportsLearnOfQuarantinedRequests(t *testing.T) {
+	f, late := newFixture(t, respondOK), newFixture(t, respondOK)
+	now := f.clock.now()
+	var strikes []hwquarantine.CrashReport
+	for _, upstream := range []string{"u1", "u2"} {
+		strikes = append(strikes, hwquarantine.CrashReport{
+			Fingerprint: 5,
+			Upstream:    upstream,
+			OccurredAt:  now,
+		})
+	}
+	strikes = append(strikes, hwquarantine.CrashReport{
+		Fingerprint: 6,
+		Upstream:    "u1",
+		OccurredAt:  now,
+	})
+	f.router.ApplyPeerUpdate(now, "peer", hwforward.PeerUpdate{Strikes: strikes})
+	f.router.TakePeerUpdate(now)
+	later := now.Add(3 * time.Second)
+	update := f.router.TakePeerUpdate(later)
+	assert.Len(t, update.Strikes, 2, "only those of the quarantined request")
+	late.router.ApplyPeerUpdate(later, "r0", update)
+	assert.Contains(t, late.log.String(), `"fingerprint":5`)
+}
--- a/lib/hwquarantine/guard.go
+++ b/lib/hwquarantine/guard.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -150,6 +151,15 @@
 	}
 }
 
+// QuarantinedReports is Reports for the quarantined requests only.
+func (t *CrashTracker) QuarantinedReports(now time.Time, limit int) []CrashReport {
+	reports := slices.DeleteFunc(t.Reports(now, math.MaxInt), func(r CrashReport) bool {
+		_, quarantined := t.Quarantined(now, r.Fingerprint)
+		return !quarantined
+	})
+	return reports[:min(len(reports), limit)]
+}
+
 // Reports returns the reports within ReportTTL for sending to peers, the latest first and at most limit.
 func (t *CrashTracker) Reports(now time.Time, limit int) []CrashReport {
 	var all []CrashReport
