hwlimit, hwdispatch: engines that ask for a pause get no requests, on the OpenAI edge too

The edge passed a 503 with Retry-After on to its caller and sent the next request to the same engine. Change: the dispatcher leaves an engine out until the end of its pause, also when all of the pool pause.

Test: TestPausedUpstreamsGetNoRequestsUntilTheEnd (does not build before: attempts had no pause to report).

--- a/lib/hwdispatch/candidates.go
+++ b/lib/hwdispatch/candidates.go
@@ -13,14 +13,14 @@
 
 // candidates returns those of the given upstreams, all of which have a free slot, to which a request may be sent now.
 //
-// An unreachable upstream is left out during its backoff, unless the whole pool is unreachable: then requests fail at once instead of waiting. A slow upstream is left out while a faster one has a free slot, except for periodic probes. If only slow upstreams have free slots, they are used, because requests would have to wait otherwise.
+// An unreachable upstream is left out during its backoff, unless the whole pool is unreachable: then requests fail at once instead of waiting. One that has asked for a pause is left out in any case. A slow upstream is left out while a faster one has a free slot, except for periodic probes. If only slow upstreams have free slots, they are used, because requests would have to wait otherwise.
 func (d *Dispatcher) candidates(now time.Time, upstreams []string) []hwroute.Candidate {
 	anyUsable := slices.ContainsFunc(d.pool.Upstreams, func(u hwdocument.Upstream) bool {
 		return !u.Draining && d.health.Usable(now, u.Address)
 	})
 	var fast, slow []hwroute.Candidate
 	for _, u := range upstreams {
-		if anyUsable && !d.health.Usable(now, u) {
+		if d.health.Paused(now, u) || anyUsable && !d.health.Usable(now, u) {
 			continue
 		}
 		candidate := hwroute.Candidate{
--- a/lib/hwdispatch/dispatcher.go
+++ b/lib/hwdispatch/dispatcher.go
@@ -406,7 +406,10 @@
 	case result.ConnectFailed:
 		d.health.RecordFailure(now, r.upstream)
 	case !result.Failed:
-		d.health.RecordSuccess(r.upstream)
+		d.health.RecordSuccess(now, r.upstream)
+	}
+	if result.Pause > 0 {
+		d.health.RecordPause(now, r.upstream, result.Pause)
 	}
 	if !result.Failed {
 		d.thresholdEstimator.Observe(result.Cost)
--- a/lib/hwdispatch/dispatcher_test.go
+++ b/lib/hwdispatch/dispatcher_test.go
@@ -177,6 +177,27 @@
 	assert.Equal(t, first.Upstream, effects.Starts[0].Upstream, "a request probes the unreachable upstream after the backoff")
 }
 
+// An engine refused with Retry-After and got further requests all the same, also when the whole pool had done so.
+func TestPausedUpstreamsGetNoRequestsUntilTheEnd(t *testing.T) {
+	d := newDispatcher(newPool(2, 4), newAccounts(1))
+	startedAt := func(now time.Time, id string) string {
+		if starts := d.Enqueue(now, newRequest(id, "account-0")).Starts; len(starts) > 0 {
+			return starts[0].Upstream
+		}
+		return ""
+	}
+	first := startedAt(start, "1")
+	require.NotEmpty(t, first)
+	d.Finish(start, "1", hwdispatch.AttemptResult{Pause: 10 * time.Second})
+	second := startedAt(start, "2")
+	assert.NotEqual(t, first, second)
+	d.Finish(start, "2", hwdispatch.AttemptResult{Pause: 5 * time.Second})
+	assert.Empty(t, startedAt(start.Add(time.Second), "3"), "both pause")
+	effects, _ := d.Tick(start.Add(6 * time.Second))
+	require.Len(t, effects.Starts, 1)
+	assert.Equal(t, second, effects.Starts[0].Upstream, "the one whose pause has ended")
+}
+
 func TestRequestThatTriedAllUpstreamsMayStartAgain(t *testing.T) {
 	d := newDispatcher(newPool(1, 1), newAccounts(1))
 	again := newRequest("again", "account-0")
--- a/lib/hwdispatch/messages.go
+++ b/lib/hwdispatch/messages.go
@@ -66,6 +66,8 @@
 	Failed bool
 	// ConnectFailed reports that no connection to the upstream could be opened.
 	ConnectFailed bool
+	// Pause is for how long the upstream wants no requests, or 0.
+	Pause time.Duration
 }
 
 // AccountStatus is an account's state at this router.
--- a/lib/hwlimit/health.go
+++ b/lib/hwlimit/health.go
@@ -12,6 +12,8 @@
 type connectState struct {
 	failures     int
 	backoffUntil time.Time
+	// pausedUntil is the time until which the upstream itself wants no requests.
+	pausedUntil time.Time
 }
 
 // Health tracks which upstreams cannot be reached. During its backoff, an upstream gets no new requests unless no other upstream can take them.
@@ -32,14 +34,38 @@
 func (h *Health) RecordFailure(now time.Time, upstream string) {
 	state := h.upstreams[upstream]
 	backoff := min(h.settings.InitialBackoff<<min(state.failures, 16), h.settings.MaxBackoff)
-	h.upstreams[upstream] = connectState{
-		failures:     state.failures + 1,
-		backoffUntil: now.Add(backoff),
+	state.failures++
+	state.backoffUntil = now.Add(backoff)
+	h.upstreams[upstream] = state
+}
+
+// RecordPause records that an upstream wants no requests for a time. A shorter pause does not end an earlier one.
+func (h *Health) RecordPause(now time.Time, upstream string, pause time.Duration) {
+	state := h.upstreams[upstream]
+	if end := now.Add(pause); end.After(state.pausedUntil) {
+		state.pausedUntil = end
 	}
+	h.upstreams[upstream] = state
 }
 
-// RecordSuccess records a response of the upstream and resets its backoff.
-func (h *Health) RecordSuccess(upstream string) { delete(h.upstreams, upstream) }
+// Paused reports whether an upstream wants no requests at present.
+func (h *Health) Paused(now time.Time, upstream string) bool {
+	return now.Before(h.upstreams[upstream].pausedUntil)
+}
+
+// RecordSuccess records a response of the upstream and resets its backoff. A pause goes on: a response may have been on its way when it began.
+func (h *Health) RecordSuccess(now time.Time, upstream string) {
+	state, known := h.upstreams[upstream]
+	switch {
+	case !known:
+	case now.Before(state.pausedUntil):
+		h.upstreams[upstream] = connectState{
+			pausedUntil: state.pausedUntil,
+		}
+	default:
+		delete(h.upstreams, upstream)
+	}
+}
 
 // Usable reports whether an upstream is not in backoff. The first request after the backoff probes it.
 func (h *Health) Usable(now time.Time, upstream string) bool {
--- a/lib/hwlimit/speed_test.go
+++ b/lib/hwlimit/speed_test.go
@@ -96,7 +96,7 @@
 		assert.False(t, h.Usable(start.Add(want-time.Millisecond), "a"))
 		assert.True(t, h.Usable(start.Add(want), "a"))
 	}
-	h.RecordSuccess("a")
+	h.RecordSuccess(start, "a")
 	assert.True(t, h.Usable(start, "a"))
 	assert.False(t, h.Down("a"))
 }
--- a/lib/hwrouter/attempt.go
+++ b/lib/hwrouter/attempt.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwdispatch"
 	"github.com/hickorywick/hickorywick/lib/hwdocument"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwlimit"
 	"github.com/hickorywick/hickorywick/lib/hwupstream"
 )
 
@@ -19,7 +21,11 @@
 	startedAt := time.Now()
 	d.beginTrial(startedAt)
 	response, err := d.send(ctx, id, upstream)
+	d.pause = 0
 	if err == nil {
+		if response.Status == http.StatusServiceUnavailable {
+			d.pause, _ = hwlimit.ParseRetryAfter(response.Header)
+		}
 		err = d.relay(id, response)
 		response.Close()
 	}
@@ -63,6 +69,7 @@
 		Cost:          d.cost - d.chargedCost,
 		Failed:        failure != nil,
 		ConnectFailed: failure != nil && !failure.MaybeSent,
+		Pause:         d.pause,
 	})
 	d.chargedCost = d.cost
 	if failure == nil {
--- a/lib/hwrouter/serve.go
+++ b/lib/hwrouter/serve.go
@@ -49,6 +49,8 @@
 	responseComplete bool
 	responseBody     []byte
 	responseStatus   int
+	// pause is for how long the upstream of the last attempt wants no requests, or 0.
+	pause time.Duration
 	// resuming reports whether the next attempt resumes the stream.
 	resuming bool
 	// callerGone reports whether a write to the caller failed.
