Quarantine and notices at design size: no scan of all upstreams for a peer's word, no allocation to weigh crashes

Found by reading: a peer's word was looked up by hashing each upstream (3,500 of them, 360 peers, several times a second), the unanswered requests were scanned on each answer, and a report from the future would have outweighed all evidence until then. Now lifetimes are indexed, requests are cancelled only after new crash reports, times are clamped, updates carry at most 200 leaving upstreams, and gossip on the OpenAI edge carries ages in place of wall-clock times.

--- a/lib/hwforward/news.go
+++ b/lib/hwforward/news.go
@@ -39,6 +39,7 @@
 	maxCrashReportsPerUpdate = 20
 	// maxSegmentReportsPerUpdate keeps them below 3 kB of a datagram.
 	maxSegmentReportsPerUpdate = 100
+	maxLeavingPerUpdate        = 200
 )
 
 // usageInterval is the minimum time between two updates that include the accounts' usage. The usage is averaged over seconds, so it changes slowly.
@@ -74,7 +75,7 @@
 		update.Strikes = append(update.Strikes, r.quarantine.QuarantinedReports(now, maxCrashReportsPerUpdate)...)
 	}
 	update.SegmentReports = r.takeSegmentReports(now)
-	update.Leaving = r.notices.LeavingToShare(now)
+	update.Leaving = r.notices.LeavingToShare(now, maxLeavingPerUpdate)
 	return update
 }
 
--- a/lib/hwforward/segments.go
+++ b/lib/hwforward/segments.go
@@ -99,7 +99,7 @@
 	e.answered = true
 	delete(r.unanswered, e)
 	now := r.clock.Now()
-	r.applySegmentChanges(r.segments.RecordAnswer(now, e.segments))
+	r.logSegmentChanges(r.segments.RecordAnswer(now, e.segments))
 }
 
 // watchAttempt makes it possible to cancel the attempt until the request is answered.
@@ -122,26 +122,31 @@
 func (r *Router) recordSegmentCrash(now time.Time, suspects []crashSuspect) {
 	for _, s := range suspects {
 		if !s.answered && !s.silent {
-			r.applySegmentChanges(r.segments.RecordCrash(now, s.at, hwquarantine.UpstreamHash(hwplace.HashID(s.address)), s.segments))
+			r.logSegmentChanges(r.segments.RecordCrash(now, s.at, hwquarantine.UpstreamHash(hwplace.HashID(s.address)), s.segments))
 		}
 	}
+	r.cancelQuarantined()
 }
 
 // takeSegmentReports returns the reports for the next update to the peers. The lock must be held.
 func (r *Router) takeSegmentReports(now time.Time) []hwquarantine.SegmentReport {
 	reports, changes := r.segments.Reports(now, maxSegmentReportsPerUpdate)
-	r.applySegmentChanges(changes)
+	r.logSegmentChanges(changes)
 	return reports
 }
 
 // mergeSegmentReports adds a peer's reports. The lock must be held.
 func (r *Router) mergeSegmentReports(now time.Time, peer string, reports []hwquarantine.SegmentReport) {
 	r.peersHeard[peer] = now
-	r.applySegmentChanges(r.segments.Merge(now, reports))
+	if len(reports) == 0 {
+		return
+	}
+	r.logSegmentChanges(r.segments.Merge(now, reports))
+	r.cancelQuarantined()
 }
 
-// applySegmentChanges logs changes of the quarantine and cancels the unanswered requests that would crash further upstreams. The lock must be held.
-func (r *Router) applySegmentChanges(changes []hwquarantine.SegmentChange) {
+// logSegmentChanges logs changes of the quarantine.
+func (r *Router) logSegmentChanges(changes []hwquarantine.SegmentChange) {
 	for _, c := range changes {
 		event := hwevent.SegmentReleased
 		if c.Quarantined {
@@ -149,6 +154,10 @@
 		}
 		r.logger.Emit(event, hwevent.With("segment", c.Segment.String()), hwevent.With("crashes", c.Crashes))
 	}
+}
+
+// cancelQuarantined cancels the unanswered requests that would crash further upstreams. The lock must be held.
+func (r *Router) cancelQuarantined() {
 	if r.segments.QuarantinedCount() == 0 {
 		return
 	}
--- a/lib/hwplace/notices.go
+++ b/lib/hwplace/notices.go
@@ -101,11 +101,11 @@
 // find returns the notice of a lifetime, or nil.
 func (n *Notices) find(lifetime Lifetime) *notice { return n.byLifetime[lifetime] }
 
-// LeavingToShare returns the lifetimes that have said lately to this router that they leave, for its peers.
-func (n *Notices) LeavingToShare(now time.Time) []LifetimeHash {
+// LeavingToShare returns the lifetimes that have said lately to this router that they leave, for its peers, and at most limit.
+func (n *Notices) LeavingToShare(now time.Time, limit int) []LifetimeHash {
 	var hashes []LifetimeHash
 	for lifetime, e := range n.byLifetime {
-		if !e.leavingAt.IsZero() && now.Sub(e.leavingAt) < noticeShareTime {
+		if len(hashes) < limit && !e.leavingAt.IsZero() && now.Sub(e.leavingAt) < noticeShareTime {
 			hashes = append(hashes, lifetime.Hash())
 		}
 	}
@@ -166,15 +166,13 @@
 
 // RecordPeerLeaving records that a peer passed on that the upstream with the given lifetime leaves, and returns the upstream if that is news. It holds for peerNoticeTTL.
 func (p *Pool) RecordPeerLeaving(now time.Time, hash LifetimeHash) (Upstream, bool) {
-	for _, s := range p.upstreams {
-		if s.upstream.Lifetime().Hash() != hash {
-			continue
-		}
-		known := s.isLeaving(now)
-		p.notice(now, s.upstream).peerLeavingAt = now
-		return s.upstream, !known
+	s := p.upstreams[p.idByLifetime[hash]]
+	if s == nil {
+		return Upstream{}, false
 	}
-	return Upstream{}, false
+	known := s.isLeaving(now)
+	p.notice(now, s.upstream).peerLeavingAt = now
+	return s.upstream, !known
 }
 
 // RecordPause records that an upstream wants no requests of this router for a time, and reports whether that begins a pause. A shorter one does not end an earlier one.
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -131,10 +131,12 @@
 	// cacheCapacity is the number of prompt tokens that an engine is assumed to keep cached.
 	cacheCapacity int
 	// upstreams is keyed by id.
-	upstreams   map[string]*upstreamState
-	idByHash    map[IDHash]string
-	cacheIndex  *hwprompt.CacheIndex
-	peerReports map[string]peerReport
+	upstreams map[string]*upstreamState
+	idByHash  map[IDHash]string
+	// idByLifetime is keyed by the lifetimes of the listed upstreams.
+	idByLifetime map[LifetimeHash]string
+	cacheIndex   *hwprompt.CacheIndex
+	peerReports  map[string]peerReport
 	// peerLoadSums is the sum of the peers' reports for each upstream.
 	peerLoadSums map[IDHash]*PeerLoad
 	// unsentObservations have not been sent to the peers yet.
@@ -161,6 +163,7 @@
 		cacheCapacity:      int(float64(cacheTokens) * settings.PrefixCacheRatio),
 		upstreams:          map[string]*upstreamState{},
 		idByHash:           map[IDHash]string{},
+		idByLifetime:       map[LifetimeHash]string{},
 		cacheIndex:         hwprompt.NewCacheIndex(),
 		peerReports:        map[string]peerReport{},
 		peerLoadSums:       map[IDHash]*PeerLoad{},
@@ -182,6 +185,10 @@
 		if s == nil || s.upstream.Incarnation != u.Incarnation || s.upstream.Address != u.Address {
 			// A restarted upstream has an empty cache.
 			p.cacheIndex.RemoveUpstream(u.ID)
+			if s != nil {
+				delete(p.idByLifetime, s.upstream.Lifetime().Hash())
+			}
+			p.idByLifetime[u.Lifetime().Hash()] = u.ID
 			s = &upstreamState{
 				hash: hwprompt.HashUpstreamID(u.ID),
 			}
@@ -194,8 +201,9 @@
 		s.upstream = u
 		s.notice = p.notices.find(u.Lifetime())
 	}
-	for id := range p.upstreams {
+	for id, s := range p.upstreams {
 		if !listed[id] {
+			delete(p.idByLifetime, s.upstream.Lifetime().Hash())
 			delete(p.upstreams, id)
 			delete(p.idByHash, HashID(id))
 			p.cacheIndex.RemoveUpstream(id)
--- a/lib/hwquarantine/segment.go
+++ b/lib/hwquarantine/segment.go
@@ -79,11 +79,13 @@
 
 // weight counts the upstreams among the crashes. Further crashes of the same upstream count half, so that a pool with a single upstream is protected too.
 func weight(crashes []segmentCrash) int {
-	upstreams := map[UpstreamHash]bool{}
-	for _, c := range crashes {
-		upstreams[c.upstream] = true
+	upstreams := 0
+	for i, c := range crashes {
+		if !slices.ContainsFunc(crashes[:i], func(earlier segmentCrash) bool { return earlier.upstream == c.upstream }) {
+			upstreams++
+		}
 	}
-	return len(upstreams) + (len(crashes)-len(upstreams))/2
+	return upstreams + (len(crashes)-upstreams)/2
 }
 
 // addCrash adds a crash and reports whether it was new.
--- a/lib/hwquarantine/segment_report.go
+++ b/lib/hwquarantine/segment_report.go
@@ -135,6 +135,10 @@
 		if now.Sub(r.At) > t.settings.QuarantineTTL {
 			continue
 		}
+		if r.At.After(now) {
+			// A time in the future would outweigh all evidence until then.
+			r.At = now
+		}
 		h := t.history(now, r.Segment)
 		switch r.Kind {
 		case SegmentAnswered:
--- a/lib/hwrouter/segments.go
+++ b/lib/hwrouter/segments.go
@@ -110,7 +110,7 @@
 		rows = append(rows, &hwpeerpb.SegmentRow{
 			Segment:        uint64(report.Segment),
 			Kind:           uint32(report.Kind),
-			AtMs:           report.At.UnixMilli(),
+			AgeMs:          uint32(max(0, now.Sub(report.At).Milliseconds())),
 			Upstream:       uint32(report.Upstream),
 			AnsweredBefore: report.AnsweredBefore,
 			Trials:         uint32(report.Trials),
@@ -126,7 +126,7 @@
 		reports = append(reports, hwquarantine.SegmentReport{
 			Segment:        hwquarantine.Segment(row.GetSegment()),
 			Kind:           hwquarantine.SegmentReportKind(row.GetKind()),
-			At:             time.UnixMilli(row.GetAtMs()),
+			At:             now.Add(-time.Duration(row.GetAgeMs()) * time.Millisecond),
 			Upstream:       hwquarantine.UpstreamHash(row.GetUpstream()),
 			AnsweredBefore: row.GetAnsweredBefore(),
 			Trials:         int(min(row.GetTrials(), uint32(segmentSettings.MaxTrials))),
