--- a/lib/hwforward/segments.go
+++ b/lib/hwforward/segments.go
@@ -15,7 +15,7 @@
 const (
 	// survivedParts is how many parts of an answer must arrive to show that the upstream has survived its beginning: a crash may still let the first one out.
 	survivedParts = 2
-	// cancelCrashes is the number of crashes from which unanswered requests with a quarantined segment are cancelled. With fewer, an answer to one of them may still show that the segment is innocent.
+	// cancelCrashes is the number of crashes from which unanswered requests with a quarantined segment are cancelled. With fewer, an answer to one of them may still show that the segment is harmless.
 	cancelCrashes = 3
 	// trialPeerTimeout is how long ago a peer's last update may be for the peer to take part in turns.
 	trialPeerTimeout = 2 * time.Second
@@ -73,9 +73,9 @@
 	}
 	r := e.router
 	r.lock.Lock()
-	innocent := r.segments.AllAnswered(e.segments)
+	harmless := r.segments.AllAnswered(e.segments)
 	r.lock.Unlock()
-	if innocent {
+	if harmless {
 		return false
 	}
 	select {
--- a/lib/hwquarantine/segment.go
+++ b/lib/hwquarantine/segment.go
@@ -139,7 +139,7 @@
 
 // SegmentTracker finds the segments of prompts at which upstreams crash.
 //
-// A crash leaves many suspects: all segments of the requests that waited for their answer at that upstream. A guilty one is never answered, so an answer clears a segment. Of the others, the guilty one is at every crash, and the rest only at some of them. It is not safe for concurrent use.
+// A crash leaves many suspects: all segments of the requests that waited for their answer at that upstream. The culprit is never answered, so an answer clears a segment. Of the others, the culprit is at every crash, and the rest only at some of them. It is not safe for concurrent use.
 type SegmentTracker struct {
 	settings  SegmentSettings
 	histories map[Segment]*segmentHistory
@@ -250,23 +250,23 @@
 	}
 	var changes []SegmentChange
 	for segment, h := range t.histories {
-		guilty := t.isGuilty(h, candidates)
-		if guilty == h.quarantined {
+		culprit := t.isCulprit(h, candidates)
+		if culprit == h.quarantined {
 			continue
 		}
-		h.quarantined = guilty
+		h.quarantined = culprit
 		h.unsent = max(h.unsent, 1)
 		changes = append(changes, SegmentChange{
 			Segment:     segment,
-			Quarantined: guilty,
+			Quarantined: culprit,
 			Crashes:     len(h.crashes),
 		})
 	}
 	return changes
 }
 
-// isGuilty decides whether a segment is quarantined. Candidates are the segments that were never answered and have enough crashes.
-func (t *SegmentTracker) isGuilty(h *segmentHistory, candidates []*segmentHistory) bool {
+// isCulprit decides whether a segment is quarantined. Candidates are the segments that were never answered and have enough crashes.
+func (t *SegmentTracker) isCulprit(h *segmentHistory, candidates []*segmentHistory) bool {
 	if h.answeredBefore {
 		if len(h.crashes) < t.settings.MinCrashesAnswered {
 			return false
@@ -282,7 +282,7 @@
 	if weight(h.crashes) < t.settings.MinCrashes {
 		return false
 	}
-	// A segment that only came along at some of the crashes of another one is innocent. Two with the same crashes can't be told apart: both are held.
+	// A segment that only came along at some of the crashes of another one is no culprit. Two with the same crashes can't be told apart: both are held.
 	return !slices.ContainsFunc(candidates, func(c *segmentHistory) bool {
 		return len(c.crashes) > len(h.crashes) && !slices.ContainsFunc(h.crashes, func(crash segmentCrash) bool { return !c.covers(crash) })
 	})
