hwforward: the beginnings of two answers are no answer

Found by reading: the parts of an answer that show that an upstream survived were counted over all attempts of a request. One event each from two upstreams that ended right after it cleared the segments. The count begins anew with each attempt. Test: TestTheBeginningsOfTwoAnswersAreNoAnswer, failed before.

--- a/lib/hwforward/segment_crash_test.go
+++ b/lib/hwforward/segment_crash_test.go
@@ -115,6 +115,34 @@
 	assert.NotContains(t, f.log.String(), "upstream-crashed")
 }
 
+// Two upstreams each sent the first event before they ended, the second one in a crash. Together that looked like an answer, which would have cleared the segments.
+func TestTheBeginningsOfTwoAnswersAreNoAnswer(t *testing.T) {
+	var f *fixture
+	var begun atomic.Int32
+	one := func(i int) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Id", r.Header.Get("X-Id"))
+			w.Header().Set("X-Signed", "1")
+			w.Header().Set("Content-Type", "text/event-stream")
+			number := begun.Add(1)
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", number)
+			w.(http.Flusher).Flush()
+			time.Sleep(5 * time.Millisecond)
+			if number > 1 {
+				_ = f.upstreams[i].Listener.Close()
+				go f.upstreams[i].CloseClientConnections()
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}
+	f = newFixture(t, one(0), one(1))
+	got := f.call(http.MethodPost, "/resumable/1", "x", "X-Segments", "1,7,8")
+	assert.False(t, got.complete)
+	assert.EqualValues(t, 2, begun.Load())
+	assert.Eventually(t, func() bool { return strings.Contains(f.log.String(), "crash-suspect") }, 2*time.Second, time.Millisecond)
+	assert.NotContains(t, f.log.String(), `"answered":true`)
+}
+
 // Innocent requests that wait at an upstream when it crashes are answered by another one, because their segments were answered before.
 func TestInnocentRequestsAtACrashedUpstreamAreSentAgain(t *testing.T) {
 	var crash sync.Once
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -42,7 +42,7 @@
 	segments []hwquarantine.Segment
 	// trial is set if the request is sent although one of its segments is quarantined.
 	trial bool
-	// answered is set once an upstream has survived the beginning of the answer; progressCount counts the parts of answers that have arrived.
+	// answered is set once an upstream has survived the beginning of the answer; progressCount counts the parts of the present attempt's answer that have arrived.
 	answered      bool
 	progressCount int
 	// cancelled is set if the attempt was cancelled because a segment was quarantined.
--- a/lib/hwforward/stream.go
+++ b/lib/hwforward/stream.go
@@ -50,6 +50,7 @@
 func (e *exchange) relayStream(ctx context.Context, response *hwlink.Response) attemptResult {
 	// Only events with IDs show where a continuation begins.
 	e.resuming = e.lastEventID != ""
+	e.progressCount = 0
 	err := e.relayEvents(response)
 	var writeErr *clientWriteError
 	switch {
