--- a/lib/hwrouter/attempt.go
+++ b/lib/hwrouter/attempt.go
@@ -22,6 +22,7 @@
 	d.beginTrial(startedAt)
 	response, err := d.send(ctx, id, upstream)
 	d.pause = 0
+	d.relayedEvents = 0
 	if err == nil {
 		if response.Status == http.StatusServiceUnavailable {
 			d.pause, _ = hwlimit.ParseRetryAfter(response.Header)
--- a/lib/hwrouter/serve.go
+++ b/lib/hwrouter/serve.go
@@ -24,7 +24,7 @@
 	writer http.ResponseWriter
 	// fingerprint identifies the request in crash reports.
 	fingerprint hwquarantine.Fingerprint
-	// trial reports that the request is sent although a segment of its prompt is quarantined. answered reports that an upstream has survived the beginning of the answer; relayedEvents counts its events.
+	// trial reports that the request is sent although a segment of its prompt is quarantined. answered reports that an upstream has survived the beginning of the answer; relayedEvents counts the events of the present attempt.
 	trial         bool
 	answered      bool
 	relayedEvents int
