--- a/review/standin/case_crash.go
+++ b/review/standin/case_crash.go
@@ -18,24 +18,25 @@
 	)
 	w.configure(7, []any{route("/redeem/", "unsafe", "ledger", 1), route("/look/", "safe", "ledger", 2)}, []any{plainService("ledger")}, nil)
 	var lock sync.Mutex
-	var arrivals []time.Time
-	arrivedID := map[string]bool{}
+	var arrivals, crashes []time.Time
 	for number := range 4 {
 		rep, err := w.addReplica("ledger", number, 6, 60*time.Millisecond)
 		if err != nil {
 			return false, err
 		}
-		rep.respond = func(rep *replica, life *lifetime, _ http.ResponseWriter, r *http.Request, id string) bool {
+		rep.respond = func(rep *replica, life *lifetime, _ http.ResponseWriter, r *http.Request, _ string) bool {
 			if r.URL.Path != "/redeem/deadly" {
 				return false
 			}
 			lock.Lock()
 			arrivals = append(arrivals, time.Now())
-			arrivedID[id] = true
 			lock.Unlock()
 			if !w.troubled() {
 				return false
 			}
+			lock.Lock()
+			crashes = append(crashes, time.Now())
+			lock.Unlock()
 			rep.crash(life, back)
 			return true
 		}
@@ -64,7 +65,7 @@
 	defer lock.Unlock()
 	late := 0
 	for number, at := range arrivals {
-		if number >= 3 && at.After(arrivals[2].Add(contact)) {
+		if len(crashes) >= 3 && at.After(crashes[2].Add(contact)) {
 			late++
 		}
 		w.record.note("arrival %d of the deadly request at a replica, %.1f s after the first", number+1, at.Sub(arrivals[0]).Seconds())
@@ -76,6 +77,6 @@
 			lost++
 		}
 	}
-	w.record.note("%d arrivals later than contactMs after the third crash (3 are allowed); %d sound unsafe requests ran and got no answer of their replica", late, lost)
-	return w.troubled() && late > 3, nil
+	w.record.note("%d crashes; %d arrivals later than contactMs after the third crash (3 are allowed); %d sound unsafe requests ran and got no answer of their replica", len(crashes), late, lost)
+	return late > 3, nil
 }
