An answer proves nothing until its upstream has outlived it

Cause: the second part of an answer counted as survival. It left the request out of the suspects of the crash that followed and cleared its segments of the crashes before, so each crash removed its own evidence. The quarantine of whole requests had the same fault one step later: the end of an answer cleared the request that crashed its upstream right after it.

Ruled out: another number of parts. The new test fails on for crashes after the second and third event, and after the end of the answer, which no number covers.

Change: an execution stays a suspect (hwquarantine.Exposures) until its upstream has outlived it by a second, seen by the progress of other requests there, by an idle connection that is still open, or by a new one. All that is in flight at a crash is suspect too; what was survived before does not count. Streams with a segment that nobody survived are not continued elsewhere after a crash.

Before: TestASegmentIsNotClearedByAnAnswerThatItsUpstreamDidNotSurvive fails on with 12, 12 and 6 crashed upstreams (2 and 3 events, after the end). After: at most 3.

--- a/lib/hwforward/background.go
+++ b/lib/hwforward/background.go
@@ -40,5 +40,6 @@
 
 // Close waits for the background tasks of the router.
 func (r *Router) Close() error {
+	close(r.closing)
 	return trace.NewAggregate(r.crashChecks.join(), r.cacheLists.join())
 }
--- a/lib/hwforward/crash_test.go
+++ b/lib/hwforward/crash_test.go
@@ -55,3 +55,25 @@
 	f.router.SetCutOff(false)
 	assert.True(t, f.router.Ready(f.clock.now()))
 }
+
+// Each answer cleared the request, although its upstream crashed right after it.
+func TestARequestThatCrashesItsUpstreamsAfterTheAnswerIsQuarantined(t *testing.T) {
+	var f *fixture
+	handlers := make([]http.HandlerFunc, 6)
+	for i := range handlers {
+		handlers[i] = func(w http.ResponseWriter, r *http.Request) {
+			respondOK(w, r)
+			time.AfterFunc(5*time.Millisecond, func() {
+				_ = f.upstreams[i].Listener.Close()
+				f.upstreams[i].CloseClientConnections()
+			})
+		}
+	}
+	f = newFixture(t, handlers...)
+	for range 5 {
+		f.call(http.MethodPost, "/safe/1", "the same")
+		time.Sleep(survivalSettleTime)
+	}
+	assert.Equal(t, http.StatusServiceUnavailable, f.call(http.MethodPost, "/safe/1", "the same").status)
+	assert.LessOrEqual(t, f.totalRequests(), 3)
+}
--- a/lib/hwforward/export_test.go
+++ b/lib/hwforward/export_test.go
@@ -11,14 +11,15 @@
 func (r *Router) RecordSilence(now time.Time, upstream hwplace.Upstream, segment hwquarantine.Segment) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.recordSegmentCrash(now, []crashSuspect{
-		{
-			address:  upstream.Address,
-			at:       now,
-			silent:   true,
-			segments: []hwquarantine.Segment{segment},
+	r.crashSuspects = append(r.crashSuspects, crashSuspect{
+		Exposure: hwquarantine.Exposure{
+			Segments: []hwquarantine.Segment{segment},
+			EndedAt:  now,
 		},
+		lifetime: upstream.Lifetime(),
+		silent:   true,
 	})
+	r.recordCrash(now, upstream)
 }
 
 // RecordCrash records that an upstream crashed under an unanswered request with the segments.
--- a/lib/hwforward/quarantine.go
+++ b/lib/hwforward/quarantine.go
@@ -17,18 +17,14 @@
 
 // crashSuspect is a request that was in flight at an upstream when its connection failed. It becomes a crash report only if the upstream proves to have crashed, because connections also fail for other reasons.
 type crashSuspect struct {
-	fingerprint hwquarantine.Fingerprint
-	upstream    string
-	address     string
-	at          time.Time
-	requestID   string
-	// answered reports that the upstream, or an earlier one, survived the beginning of the answer; sends is the number of attempts.
-	answered bool
+	hwquarantine.Exposure
+	lifetime hwplace.Lifetime
+	// begun reports that a part of the answer had arrived.
+	begun bool
+	// broken reports that the connection broke before the end of the answer.
+	broken bool
 	// silent reports that the upstream did not close the connection itself.
 	silent bool
-	sends  int
-	// segments are those of the prompt that other requests may share.
-	segments []hwquarantine.Segment
 }
 
 const (
@@ -49,18 +45,14 @@
 	upstream := e.choice.Upstream
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.crashSuspects = slices.DeleteFunc(r.crashSuspects, func(s crashSuspect) bool { return now.Sub(s.at) > crashAttributionWindow })
+	r.crashSuspects = slices.DeleteFunc(r.crashSuspects, func(s crashSuspect) bool { return now.Sub(s.EndedAt) > crashAttributionWindow })
 	if len(r.crashSuspects) < maxCrashSuspects {
 		r.crashSuspects = append(r.crashSuspects, crashSuspect{
-			fingerprint: e.fingerprint,
-			upstream:    upstream.ID,
-			address:     upstream.Address,
-			at:          now,
-			requestID:   e.info.ID,
-			answered:    e.answered,
-			silent:      isTimeout(broken),
-			sends:       e.attempts,
-			segments:    e.segments,
+			Exposure: e.exposure(now),
+			lifetime: upstream.Lifetime(),
+			begun:    e.begun,
+			broken:   true,
+			silent:   isTimeout(broken),
 		})
 	}
 	if checked, pending := r.pendingChecks[upstream.ID]; pending {
@@ -80,20 +72,44 @@
 // checkForCrash finds out whether an upstream still accepts connections.
 func (r *Router) checkForCrash(ctx context.Context, upstream hwplace.Upstream) {
 	hwtask.Sleep(ctx, crashCheckDelay)
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-	defer cancel()
-	crashed := !r.transport.CanConnect(ctx, upstream.Address)
+	err := r.probe(ctx, upstream)
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	delete(r.pendingChecks, upstream.ID)
-	if !crashed {
+	if err != nil {
+		r.recordCrash(r.clock.Now(), upstream)
+	}
+}
+
+// probe opens a connection to an upstream.
+func (r *Router) probe(ctx context.Context, upstream hwplace.Upstream) error {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	return r.transport.Probe(ctx, upstream.Address)
+}
+
+// recordCrash records that an upstream accepts no connections. The lock must be held.
+func (r *Router) recordCrash(now time.Time, upstream hwplace.Upstream) {
+	lifetime := upstream.Lifetime()
+	if !r.isServing(now, upstream) {
+		r.confirmCrash(now, upstream.ID, nil)
 		return
 	}
-	now := r.clock.Now()
-	suspects := r.confirmCrash(now, upstream.ID)
-	if r.isServing(now, upstream) {
-		r.recordSegmentCrash(now, suspects)
+	exposures := r.exposures.Take(now, lifetime)
+	suspects := r.confirmCrash(now, upstream.ID, exposures)
+	at := crashTime(now, suspects)
+	suspects = slices.DeleteFunc(suspects, func(s crashSuspect) bool { return s.silent })
+	r.recordSegmentCrash(now, at, lifetime.Address, suspects)
+}
+
+// crashTime returns when an upstream crashed: when the first connection to it broke, or now if none did.
+func crashTime(now time.Time, suspects []crashSuspect) time.Time {
+	for _, s := range suspects {
+		if s.broken && s.EndedAt.Before(now) {
+			now = s.EndedAt
+		}
 	}
+	return now
 }
 
 // isServing reports whether an upstream is listed and not draining: one that leaves also closes its connections and accepts no new ones. The lock must be held.
@@ -112,24 +128,35 @@
 	return errors.Is(err, syscall.ETIMEDOUT) || errors.As(err, &networkErr) && networkErr.Timeout()
 }
 
-// confirmCrash turns the recent suspects of a crashed upstream into crash reports, and returns them. The lock must be held.
-func (r *Router) confirmCrash(now time.Time, upstream string) []crashSuspect {
-	var reports []hwquarantine.CrashReport
+// confirmCrash turns the recent suspects of a crashed upstream, and the executions that it has not outlived, into crash reports, and returns them. The lock must be held.
+func (r *Router) confirmCrash(now time.Time, upstream string, exposures []hwquarantine.Exposure) []crashSuspect {
 	var suspects []crashSuspect
 	r.crashSuspects = slices.DeleteFunc(r.crashSuspects, func(s crashSuspect) bool {
-		if s.upstream != upstream {
+		if s.lifetime.ID != upstream {
 			return false
 		}
-		if now.Sub(s.at) <= crashAttributionWindow {
+		if now.Sub(s.EndedAt) <= crashAttributionWindow {
 			suspects = append(suspects, s)
-			reports = append(reports, hwquarantine.CrashReport{
-				Fingerprint: s.fingerprint,
-				Upstream:    s.upstream,
-				OccurredAt:  s.at,
-			})
 		}
 		return true
 	})
+	for _, x := range exposures {
+		suspects = append(suspects, crashSuspect{
+			Exposure: x,
+			lifetime: hwplace.Lifetime{
+				ID: upstream,
+			},
+			begun: x.Proof != hwquarantine.ProvesNothing,
+		})
+	}
+	reports := make([]hwquarantine.CrashReport, 0, len(suspects))
+	for _, s := range suspects {
+		reports = append(reports, hwquarantine.CrashReport{
+			Fingerprint: s.Fingerprint,
+			Upstream:    upstream,
+			OccurredAt:  s.EndedAt,
+		})
+	}
 	r.logCrash(upstream, suspects)
 	r.mergeCrashReports(now, reports, true)
 	return suspects
@@ -144,12 +171,13 @@
 	r.logger.Emit(hwevent.UpstreamCrashed, hwevent.With("upstream", upstream), hwevent.With("suspects", len(suspects)))
 	for _, s := range suspects[:min(len(suspects), maxLoggedSuspects)] {
 		r.logger.Emit(hwevent.CrashSuspect,
-			hwevent.With("request-id", s.requestID),
+			hwevent.With("request-id", s.RequestID),
 			hwevent.With("upstream", upstream),
-			hwevent.With("fingerprint", uint64(s.fingerprint)),
-			hwevent.With("answered", s.answered),
-			hwevent.With("sends", s.sends),
-			hwevent.With("segments", hexList(s.segments[:min(len(s.segments), maxLoggedSegments)])))
+			hwevent.With("fingerprint", uint64(s.Fingerprint)),
+			hwevent.With("begun", s.begun),
+			hwevent.With("ended", s.Proof != hwquarantine.ProvesNothing),
+			hwevent.With("sends", s.Sends),
+			hwevent.With("segments", hexList(s.Segments[:min(len(s.Segments), maxLoggedSegments)])))
 	}
 }
 
@@ -175,13 +203,8 @@
 	}
 }
 
-// clearCrashReports clears the crash reports of a request that was executed successfully. Nothing is sent to the peers if it has none.
+// clearCrashReports clears the crash reports of a request that an upstream has survived. The lock must be held.
 func (r *Router) clearCrashReports(now time.Time, fingerprint hwquarantine.Fingerprint) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	if !r.quarantine.HasCrashes(fingerprint) {
-		return
-	}
 	r.mergeCrashReports(now, []hwquarantine.CrashReport{
 		{
 			Fingerprint: fingerprint,
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -45,6 +45,8 @@
 	Quarantine hwquarantine.Settings
 	// Segments configures the quarantine of segments of prompts at which upstreams crash.
 	Segments hwquarantine.SegmentSettings
+	// SettleTime is how long after the end of an answer its request may still crash the upstream.
+	SettleTime time.Duration
 	// Instance is the name under which the peers know this router.
 	Instance string
 }
@@ -83,6 +85,8 @@
 	metrics     Metrics
 	crashChecks backgroundTasks
 	cacheLists  backgroundTasks
+	// closing is closed when the router ends.
+	closing chan struct{}
 
 	table     atomic.Pointer[hwtable.Table]
 	confirmed atomic.Pointer[tableConfirmation]
@@ -112,8 +116,11 @@
 	// pendingChecks holds, by upstream, a channel that is closed once it is known whether the upstream has crashed.
 	pendingChecks map[string]chan struct{}
 	segments      *hwquarantine.SegmentTracker
-	// unanswered holds the attempts whose requests were not answered yet, with the function that cancels each.
-	unanswered map[*exchange]func()
+	// exposures are the executions of which it is not known yet whether their upstreams survived them, and survivalChecks the lifetimes that are to be checked for it.
+	exposures      *hwquarantine.Exposures[hwplace.Lifetime]
+	survivalChecks map[hwplace.Lifetime]bool
+	// attempts holds the attempts in flight whose prompts have segments, with the function that cancels each.
+	attempts map[*exchange]func()
 	// peersHeard is when each peer last sent an update.
 	peersHeard map[string]time.Time
 	// pendingUpdate is what has not been sent to the peers yet; usageSentAt is when the accounts' usage was last sent.
@@ -144,11 +151,19 @@
 		notices:         hwplace.NewNotices(),
 		pendingChecks:   map[string]chan struct{}{},
 		segments:        hwquarantine.NewSegmentTracker(settings.Segments),
-		unanswered:      map[*exchange]func(){},
-		peersHeard:      map[string]time.Time{},
-		upstreams:       map[string][]hwplace.Upstream{},
-		cachesListed:    map[string]bool{},
-		metrics:         newMetrics(),
+		exposures: hwquarantine.NewExposures[hwplace.Lifetime](hwquarantine.ExposureSettings{
+			SettleTime:   settings.SettleTime,
+			RestartTime:  minRestartTime,
+			TTL:          exposureTTL,
+			MaxExposures: maxExposures,
+		}),
+		survivalChecks: map[hwplace.Lifetime]bool{},
+		attempts:       map[*exchange]func(){},
+		peersHeard:     map[string]time.Time{},
+		upstreams:      map[string][]hwplace.Upstream{},
+		cachesListed:   map[string]bool{},
+		metrics:        newMetrics(),
+		closing:        make(chan struct{}),
 	}
 }
 
@@ -242,7 +257,7 @@
 	}
 	// An upstream that was removed or restarted is assumed to have crashed.
 	for _, id := range append(removed, added...) {
-		r.confirmCrash(now, id)
+		r.confirmCrash(now, id, nil)
 	}
 	for _, id := range removed {
 		r.logger.Emit(hwevent.UpstreamGone, hwevent.With("upstream", id), hwevent.With("pool", name))
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -13,6 +13,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwlink"
 	"github.com/hickorywick/hickorywick/lib/hwplace"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 )
 
 // outcome is the result of one attempt.
@@ -307,6 +308,9 @@
 	// The deferred cancel ends the exchange with the upstream however this function returns.
 	attemptCtx, cancel := e.attemptContext(ctx, now)
 	defer cancel()
+	e.sentAt = now
+	e.proof = hwquarantine.ProvesNothing
+	e.suspected = false
 	r.watchAttempt(e, cancel)
 	defer r.unwatchAttempt(e)
 	response, exchangeErr := r.transport.Do(attemptCtx, now, &hwlink.Request{
@@ -343,6 +347,9 @@
 			broken = exchangeErr
 		}
 		e.finishAttempt(ctx, true, broken)
+		if exchangeErr.MaybeSent {
+			e.recordExposure()
+		}
 		e.excluded = append(e.excluded, e.choice.Upstream.ID)
 		return attemptResult{
 			outcome: failed,
@@ -357,6 +364,8 @@
 		return e.refusedByUpstream(ctx, response)
 	}
 	e.executions++
+	// A client that leaves ends the attempt with a panic.
+	defer e.recordExposure()
 	switch {
 	case e.headerSent && !e.continuesStream(response, info):
 		return e.rejectResumption(ctx, response)
@@ -452,6 +461,7 @@
 			hwevent.With("trouble", e.choice.RecentFailures))
 	}
 	if broken != nil && !contextDone {
+		e.suspected = true
 		r.transport.CloseIdleConnections(e.choice.Upstream.Address)
 		e.crashCheck = r.recordCrashSuspect(ctx, now, e, broken)
 	}
@@ -474,6 +484,8 @@
 	now := r.clock.Now()
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	e.begun = true
+	r.recordSurvival(now, e.choice.Upstream.Lifetime(), e.sentAt)
 	p := r.pools[e.pool]
 	if p == nil {
 		return
--- a/lib/hwforward/segment_crash_test.go
+++ b/lib/hwforward/segment_crash_test.go
@@ -25,6 +25,10 @@
 	crashingSegment = 7
 	// crashSettleTime covers the confirmation of a crash: the delay of the check and a refused connection.
 	crashSettleTime = 120 * time.Millisecond
+	// survivalSettleTime covers the check of whether an upstream has survived an answer.
+	survivalSettleTime = 300 * time.Millisecond
+	// fleetEvents is the length of an answer of a crashingFleet.
+	fleetEvents = 3
 )
 
 // crashingFleet is a fixture whose upstreams stream a few events, or crash if the prompt contains the crashing segment.
@@ -36,7 +40,8 @@
 	next    atomic.Uint64
 }
 
-func newCrashingFleet(t *testing.T, upstreams int) *crashingFleet {
+// newCrashingFleet returns a fleet whose upstreams crash once they have sent the given number of events; with more than there are, after the end of the answer.
+func newCrashingFleet(t *testing.T, upstreams, eventsBeforeCrash int) *crashingFleet {
 	t.Helper()
 	c := &crashingFleet{}
 	handlers := make([]http.HandlerFunc, upstreams)
@@ -48,24 +53,41 @@
 				return
 			}
 			c.guilty.Add(1)
-			crash.Do(func() {
-				c.crashes.Add(1)
-				_ = c.upstreams[i].Listener.Close()
-				go c.upstreams[i].CloseClientConnections()
-			})
+			respondFirstEvents(w, r, min(eventsBeforeCrash, fleetEvents))
+			end := func() {
+				crash.Do(func() {
+					c.crashes.Add(1)
+					_ = c.upstreams[i].Listener.Close()
+					go c.upstreams[i].CloseClientConnections()
+				})
+			}
+			if eventsBeforeCrash > fleetEvents {
+				time.AfterFunc(5*time.Millisecond, end)
+				return
+			}
+			end()
 			panic(http.ErrAbortHandler)
 		}
 	}
-	c.fixture = newFixtureWith(t, func(s *settings) { s.RetryReserve = 50 }, handlers...)
+	c.fixture = newFixtureWith(t, func(s *settings) {
+		s.RetryReserve = 50
+		s.KeyMaxStaleness = time.Minute
+	}, handlers...)
 	return c
 }
 
-// respondEvents streams three events, far enough apart to arrive one by one.
-func respondEvents(w http.ResponseWriter, r *http.Request) {
+// respondEvents streams a complete answer.
+func respondEvents(w http.ResponseWriter, r *http.Request) { respondFirstEvents(w, r, fleetEvents) }
+
+// respondFirstEvents streams the first events of an answer, far enough apart to arrive one by one.
+func respondFirstEvents(w http.ResponseWriter, r *http.Request, events int) {
+	if events == 0 {
+		return
+	}
 	w.Header().Set("X-Id", r.Header.Get("X-Id"))
 	w.Header().Set("X-Signed", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := range 3 {
+	for n := range events {
 		_, _ = io.WriteString(w, fmt.Sprintf("id: %d\ndata: x\n\n", n+1))
 		w.(http.Flusher).Flush()
 		time.Sleep(2 * time.Millisecond)
@@ -84,7 +106,7 @@
 
 // A segment of a prompt crashed every engine that began to answer it, and each request with it was sent to a second engine after the first had crashed. Such requests never equal each other, so counting crashes by request did not stop them.
 func TestDifferentRequestsWithACrashingSegmentStopReachingUpstreams(t *testing.T) {
-	c := newCrashingFleet(t, 12)
+	c := newCrashingFleet(t, 12, 0)
 	for n := range uint64(10) {
 		assert.Equal(t, http.StatusOK, c.send(commonSegment, 100+n%2).status, "a request without the segment")
 	}
@@ -97,9 +119,30 @@
 	assert.LessOrEqual(t, c.guilty.Load(), int32(3), "requests that reached upstreams")
 }
 
+// Engines that crashed after the second event of an answer, or right after its end, were taken for survivors: the segment was cleared with each crash, and sixteen engines crashed where three were allowed.
+func TestASegmentIsNotClearedByAnAnswerThatItsUpstreamDidNotSurvive(t *testing.T) {
+	for events := range fleetEvents + 2 {
+		t.Run(fmt.Sprintf("crash after %d events", events), func(t *testing.T) {
+			t.Parallel()
+			c := newCrashingFleet(t, 12, events)
+			for n := range uint64(4) {
+				assert.Equal(t, http.StatusOK, c.send(commonSegment, 100+n%2).status, "a request without the segment")
+			}
+			for n := range uint64(6) {
+				time.Sleep(survivalSettleTime)
+				c.send(commonSegment, crashingSegment)
+				time.Sleep(crashSettleTime + survivalSettleTime)
+				assert.Equal(t, http.StatusOK, c.send(commonSegment, 100+n%2).status, "a request without the segment")
+			}
+			assert.LessOrEqual(t, c.crashes.Load(), int32(3), "crashed upstreams")
+			assert.LessOrEqual(t, c.guilty.Load(), int32(3), "requests that reached upstreams")
+		})
+	}
+}
+
 // The second engine crashed as well, because the request was sent there although it might have crashed the first one.
 func TestARequestThatMayHaveCrashedItsUpstreamIsNotSentAgain(t *testing.T) {
-	c := newCrashingFleet(t, 3)
+	c := newCrashingFleet(t, 3, 0)
 	got := c.send(crashingSegment)
 	assert.Equal(t, http.StatusBadGateway, got.status, "nothing is promised about whether it ran")
 	assert.EqualValues(t, 1, c.guilty.Load())
@@ -167,6 +210,7 @@
 	}
 	f = newFixture(t, handler(0), handler(1))
 	assert.Equal(t, http.StatusOK, f.call(http.MethodPost, "/resumable/1", "x", "X-Segments", "1,2,3").status)
+	time.Sleep(survivalSettleTime)
 	got := f.call(http.MethodPost, "/resumable/1", "x", "X-Segments", "1,2,4", "X-Wait", "1")
 	<-crashed
 	assert.Equal(t, http.StatusOK, got.status)
--- a/lib/hwforward/segments.go
+++ b/lib/hwforward/segments.go
@@ -13,9 +13,7 @@
 )
 
 const (
-	// survivedParts is how many parts of an answer must arrive to show that the upstream has survived its beginning: a crash may still let the first one out.
-	survivedParts = 2
-	// cancelCrashes is the number of crashes from which unanswered requests with a quarantined segment are cancelled. With fewer, an answer to one of them may still show that the segment is harmless.
+	// cancelCrashes is the number of crashes from which waiting requests with a quarantined segment are cancelled. With fewer, an answer to one of them may still show that the segment is harmless.
 	cancelCrashes = 3
 	// trialPeerTimeout is how long ago a peer's last update may be for the peer to take part in turns.
 	trialPeerTimeout = 2 * time.Second
@@ -61,14 +59,14 @@
 	r.logger.Emit(hwevent.SegmentTried, hwevent.With("request-id", e.info.ID), hwevent.With("upstream", e.choice.Upstream.ID), hwevent.With("segments", hexList(e.segments[:min(len(e.segments), maxLoggedSegments)])))
 }
 
-// isCulpritSuspect reports whether the last attempt may have crashed its upstream, or would have if it had not been cancelled: the upstream did crash, and a segment of the prompt was never answered. A second upstream could then crash as well. Requests whose segments have all been answered are not suspects; they only happened to be there.
+// isCulpritSuspect reports whether the last attempt may have crashed its upstream, or would have if it had not been cancelled: the upstream did crash, and no upstream is known to have survived one of the prompt's segments. A second upstream could then crash as well, also if the answer had begun. Requests whose segments were all survived are not suspects; they only happened to be there.
 func (e *exchange) isCulpritSuspect(ctx context.Context, result attemptResult) bool {
 	if e.cancelled.Load() {
 		return true
 	}
 	check := e.crashCheck
 	e.crashCheck = nil
-	if check == nil || e.answered || result.unsent {
+	if check == nil || result.unsent {
 		return false
 	}
 	r := e.router
@@ -88,42 +86,29 @@
 	return r.segments.Suspected(e.segments)
 }
 
-// recordAnswered records that the upstream has survived the beginning of the answer.
-func (e *exchange) recordAnswered() {
-	if e.answered || len(e.segments) == 0 {
-		return
-	}
-	r := e.router
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	e.answered = true
-	delete(r.unanswered, e)
-	now := r.clock.Now()
-	r.logSegmentChanges(r.segments.RecordAnswer(now, e.segments))
-}
-
-// watchAttempt makes it possible to cancel the attempt until the request is answered.
+// watchAttempt makes it possible to cancel the attempt.
 func (r *Router) watchAttempt(e *exchange, cancel context.CancelFunc) {
-	if e.answered || len(e.segments) == 0 {
+	if len(e.segments) == 0 {
 		return
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.unanswered[e] = cancel
+	r.attempts[e] = cancel
 }
 
 func (r *Router) unwatchAttempt(e *exchange) {
+	if len(e.segments) == 0 {
+		return
+	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	delete(r.unanswered, e)
+	delete(r.attempts, e)
 }
 
-// recordSegmentCrash records a crash against the segments of the suspects that had no answer. The lock must be held.
-func (r *Router) recordSegmentCrash(now time.Time, suspects []crashSuspect) {
+// recordSegmentCrash records the crash of an upstream against the segments of the suspects. The lock must be held.
+func (r *Router) recordSegmentCrash(now, at time.Time, address string, suspects []crashSuspect) {
 	for _, s := range suspects {
-		if !s.answered && !s.silent {
-			r.logSegmentChanges(r.segments.RecordCrash(now, s.at, hwquarantine.UpstreamHash(hwplace.HashID(s.address)), s.segments))
-		}
+		r.logSegmentChanges(r.segments.RecordCrash(now, at, hwquarantine.UpstreamHash(hwplace.HashID(address)), s.Segments))
 	}
 	r.cancelQuarantined()
 }
@@ -156,14 +141,17 @@
 	}
 }
 
-// cancelQuarantined cancels the unanswered requests that would crash further upstreams. The lock must be held.
+// cancelQuarantined cancels the requests that would crash further upstreams. A response that has begun is aborted only on stronger evidence, because its end may be the answer that releases the segment. The lock must be held.
 func (r *Router) cancelQuarantined() {
 	if r.segments.QuarantinedCount() == 0 {
 		return
 	}
-	for e, cancel := range r.unanswered {
-		if crashes, quarantined := r.segments.Quarantined(e.segments); quarantined && crashes >= cancelCrashes && !e.trial {
-			delete(r.unanswered, e)
+	for e, cancel := range r.attempts {
+		if e.trial || e.begun && !r.segments.Convicted(e.segments) {
+			continue
+		}
+		if crashes, quarantined := r.segments.Quarantined(e.segments); quarantined && crashes >= cancelCrashes {
+			delete(r.attempts, e)
 			e.cancelled.Store(true)
 			cancel()
 		}
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -42,11 +42,15 @@
 	segments []hwquarantine.Segment
 	// trial is set if the request is sent although one of its segments is quarantined.
 	trial bool
-	// answered is set once an upstream has survived the beginning of the answer; progressCount counts the parts of the present attempt's answer that have arrived.
-	answered      bool
-	progressCount int
+	// sentAt is when the present attempt began, and proof what it shows if the upstream survives it.
+	sentAt time.Time
+	proof  hwquarantine.Proof
+	// begun is set once a part of the answer has arrived. The router's lock guards it.
+	begun bool
 	// cancelled is set if the attempt was cancelled because a segment was quarantined.
 	cancelled atomic.Bool
+	// suspected is set if the connection of the present attempt broke.
+	suspected bool
 	// crashCheck is closed once it is known whether the upstream of the last attempt has crashed, or nil.
 	crashCheck <-chan struct{}
 
--- a/lib/hwforward/stream.go
+++ b/lib/hwforward/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwlink"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 )
 
 // maxEventBytes limits the size of one event of a stream.
@@ -50,7 +51,6 @@
 func (e *exchange) relayStream(ctx context.Context, response *hwlink.Response) attemptResult {
 	// Only events with IDs show where a continuation begins.
 	e.resuming = e.lastEventID != ""
-	e.progressCount = 0
 	err := e.relayEvents(response)
 	var writeErr *clientWriteError
 	switch {
@@ -60,8 +60,7 @@
 		e.finishAttempt(ctx, false, nil)
 		response.ReleaseConnection(e.router.clock.Now())
 		e.logEnd(nil)
-		e.router.clearCrashReports(e.router.clock.Now(), e.fingerprint)
-		e.recordAnswered()
+		e.proof = hwquarantine.ProvesSegments
 		return attemptResult{
 			outcome: done,
 		}
@@ -164,9 +163,6 @@
 		return buffer, nil
 	}
 	e.recordProgress()
-	if e.progressCount++; e.progressCount >= survivedParts {
-		e.recordAnswered()
-	}
 	return buffer, e.writeStream(response, out)
 }
 
--- /dev/null
+++ b/lib/hwforward/survival.go
@@ -0,0 +1,120 @@
+package hwforward
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwlink"
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
+)
+
+const (
+	// survivalCheckMargin is how much longer than the settle time a check waits for a sign of life of other requests, which costs nothing.
+	survivalCheckMargin = 200 * time.Millisecond
+	// maxExposures limits the executions that await a sign of life, some 150 bytes each.
+	maxExposures = 4096
+	// exposureTTL is how long an execution awaits a sign of life or of a crash: the settle time and a silence of some seconds before the crash shows.
+	exposureTTL = 5 * time.Second
+	// minRestartTime is shorter than an upstream takes from a crash until it answers again, by the platform's word some seconds.
+	minRestartTime = 2 * time.Second
+)
+
+// exposure returns what an upstream has been exposed to by the present attempt, which has ended.
+func (e *exchange) exposure(now time.Time) hwquarantine.Exposure {
+	return hwquarantine.Exposure{
+		RequestID:   e.info.ID,
+		Fingerprint: e.fingerprint,
+		Segments:    e.segments,
+		Sends:       e.attempts,
+		EndedAt:     now,
+		Proof:       e.proof,
+	}
+}
+
+// recordExposure records the end of an attempt that an upstream may have executed. What it proves counts once the upstream is known to have survived it.
+func (e *exchange) recordExposure() {
+	if e.suspected {
+		return
+	}
+	r := e.router
+	now := r.clock.Now()
+	exposure := e.exposure(now)
+	upstream := e.choice.Upstream
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.exposures.Add(now, upstream.Lifetime(), exposure)
+	if e.proof != hwquarantine.ProvesNothing {
+		r.checkSurvival(upstream)
+	}
+}
+
+// isUndecided reports whether the survival of an execution would change what is known of its request. The lock must be held.
+func (r *Router) isUndecided(x hwquarantine.Exposure) bool {
+	return x.Proof != hwquarantine.ProvesNothing && r.quarantine.HasCrashes(x.Fingerprint) ||
+		x.Proof == hwquarantine.ProvesSegments && !r.segments.AllAnswered(x.Segments)
+}
+
+// recordSurvival records that an attempt, sent at sentAt, has just made progress at an upstream. The lock must be held.
+func (r *Router) recordSurvival(now time.Time, lifetime hwplace.Lifetime, sentAt time.Time) {
+	for _, x := range r.exposures.Survived(now, lifetime, sentAt) {
+		if x.Proof != hwquarantine.ProvesNothing && r.quarantine.HasCrashes(x.Fingerprint) {
+			r.clearCrashReports(now, x.Fingerprint)
+		}
+		if x.Proof == hwquarantine.ProvesSegments && len(x.Segments) > 0 {
+			r.logSegmentChanges(r.segments.RecordAnswer(now, x.Segments))
+		}
+	}
+}
+
+// checkSurvival finds out whether an upstream has survived its latest executions, unless other requests there show it first. The lock must be held.
+func (r *Router) checkSurvival(upstream hwplace.Upstream) {
+	lifetime := upstream.Lifetime()
+	if r.survivalChecks[lifetime] {
+		return
+	}
+	r.survivalChecks[lifetime] = true
+	r.crashChecks.start(context.Background(), func(ctx context.Context) error {
+		select {
+		case <-time.After(r.settings.SettleTime + survivalCheckMargin):
+			r.finishSurvivalCheck(ctx, upstream)
+		case <-r.closing:
+		}
+		return nil
+	})
+}
+
+// finishSurvivalCheck ends a check. An idle connection that is still open shows that the upstream's process lives, and a new one that its host does too. A new one is opened only if the answer would change what is known, or if the upstream has closed the idle ones.
+func (r *Router) finishSurvivalCheck(ctx context.Context, upstream hwplace.Upstream) {
+	lifetime := upstream.Lifetime()
+	now := r.clock.Now()
+	r.lock.Lock()
+	delete(r.survivalChecks, lifetime)
+	settled := r.exposures.Settled(now, lifetime)
+	undecided := slices.ContainsFunc(settled, r.isUndecided)
+	suspicion := r.segments.HasCrashes() || !r.quarantine.IsEmpty()
+	r.lock.Unlock()
+	if len(settled) == 0 {
+		return
+	}
+	var err error
+	switch state := r.transport.IdleState(now, upstream.Address); {
+	case state == hwlink.IdleOpen && (!suspicion || !undecided):
+	case state == hwlink.IdleClosed, undecided:
+		err = r.probe(ctx, upstream)
+	default:
+		return
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	switch {
+	case err == nil:
+		r.recordSurvival(now, lifetime, now)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		// Without an answer at all, this router may be the one that is cut off.
+		r.recordCrash(r.clock.Now(), upstream)
+	}
+}
--- a/lib/hwforward/whole.go
+++ b/lib/hwforward/whole.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/hickorywick/hickorywick/lib/hwlink"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 )
 
 // bufferedResponse is a response whose body was read to its end.
@@ -69,9 +70,9 @@
 		}
 	}
 	e.writeBuffered(buffered)
-	r.clearCrashReports(r.clock.Now(), e.fingerprint)
+	e.proof = hwquarantine.ProvesRequest
 	if buffered.status < http.StatusMultipleChoices {
-		e.recordAnswered()
+		e.proof = hwquarantine.ProvesSegments
 	}
 	return attemptResult{
 		outcome: done,
--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -262,7 +262,8 @@
 			MaxSegments:        1000,
 			AnsweredSegments:   1 << 10,
 		},
-		Instance: "r0",
+		SettleTime: 20 * time.Millisecond,
+		Instance:   "r0",
 	}
 	change(&chosen)
 	f.router = hwforward.New(chosen, hwforward.Dependencies{
--- a/lib/hwlink/link_test.go
+++ b/lib/hwlink/link_test.go
@@ -254,7 +254,26 @@
 	_, failure := roundTrip(newTransport(), newRequest(address, "1"))
 	require.NotNil(t, failure)
 	assert.False(t, failure.MaybeSent)
-	assert.False(t, newTransport().CanConnect(context.Background(), address))
+	assert.Error(t, newTransport().Probe(context.Background(), address))
+}
+
+// The check uses no request, so it must tell an open connection from one that the upstream has closed without taking it out of the pool.
+func TestAnOpenIdleConnectionShowsThatTheUpstreamLives(t *testing.T) {
+	end := make(chan struct{})
+	address := startUpstream(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Id: 1\r\n\r\nok")
+		<-end
+		_ = conn.Close()
+	})
+	transport := newTransport()
+	assert.Equal(t, hwlink.IdleNone, transport.IdleState(time.Now(), address))
+	_, failure := roundTrip(transport, newRequest(address, "1"))
+	require.Nil(t, failure)
+	assert.Equal(t, hwlink.IdleOpen, transport.IdleState(time.Now(), address))
+	assert.Equal(t, hwlink.IdleOpen, transport.IdleState(time.Now(), address), "it is still there")
+	close(end)
+	assert.Eventually(t, func() bool { return transport.IdleState(time.Now(), address) == hwlink.IdleClosed }, 2*time.Second, time.Millisecond)
 }
 
 // Cancelling must close the connection, even while waiting for the response, so that the upstream stops executing the request.
--- a/lib/hwquarantine/segment.go
+++ b/lib/hwquarantine/segment.go
@@ -47,6 +47,9 @@
 const (
 	// sameCrashWindow is the time within which reports of one upstream are about the same crash. Routers detect a crash up to a second apart, and a restart takes longer.
 	sameCrashWindow = 2 * time.Second
+	// outageWindow is the time within which the crashes of several upstreams may be one outage, and minOutagesConvicted how many outages no coincidence explains.
+	outageWindow        = 250 * time.Millisecond
+	minOutagesConvicted = 3
 	// maxCrashesPerSegment limits the crashes that are kept of one segment. More of them decide nothing.
 	maxCrashesPerSegment = 16
 )
@@ -73,6 +76,19 @@
 	sentAt time.Time
 }
 
+// outages counts the crashes that are far enough apart to have had different causes.
+func (h *segmentHistory) outages() int {
+	count := 0
+	var last time.Time
+	for _, c := range h.crashes {
+		if count == 0 || c.at.Sub(last) >= outageWindow {
+			count++
+			last = c.at
+		}
+	}
+	return count
+}
+
 func (h *segmentHistory) covers(crash segmentCrash) bool {
 	return slices.ContainsFunc(h.crashes, crash.same)
 }
@@ -144,6 +160,8 @@
 	settings  SegmentSettings
 	histories map[Segment]*segmentHistory
 	answered  recentSet[Segment]
+	// answeredAt is the time of the last answer to any request.
+	answeredAt time.Time
 	// prunedAt is when what has expired was last removed.
 	prunedAt time.Time
 }
@@ -182,6 +200,7 @@
 // RecordAnswer records that a request with the given segments was answered and that the upstream survived it.
 func (t *SegmentTracker) RecordAnswer(now time.Time, segments []Segment) []SegmentChange {
 	changed := false
+	t.answeredAt = later(t.answeredAt, now)
 	for _, segment := range segments {
 		t.answered.add(segment)
 		h := t.histories[segment]
@@ -305,13 +324,19 @@
 // Decide decides whether a request with the given segments may be sent.
 func (t *SegmentTracker) Decide(now time.Time, segments []Segment, isTurn TurnFunc) Verdict {
 	verdict := Verdict{}
+	var quarantined []Segment
 	for _, segment := range segments {
-		h := t.histories[segment]
-		if h == nil || !h.quarantined {
-			continue
+		if h := t.histories[segment]; h != nil && h.quarantined {
+			quarantined = append(quarantined, segment)
 		}
+	}
+	for _, segment := range quarantined {
 		verdict.Trial = true
-		due, planned := h.trialDue(t.settings)
+		due, planned := t.histories[segment].trialDue(t.settings)
+		if len(quarantined) > 1 {
+			// A crash would tell nothing about each of them, so a request with only one of them goes first.
+			due = due.Add(t.settings.FirstTrialDelay)
+		}
 		wait := due.Sub(now)
 		switch {
 		case !planned:
@@ -351,6 +376,14 @@
 	return crashes, quarantined
 }
 
+// Convicted reports whether a segment is quarantined on evidence that coincidence does not explain: upstreams crashed at different times, none of them a neighbour in a single outage, while other requests were answered.
+func (t *SegmentTracker) Convicted(segments []Segment) bool {
+	return slices.ContainsFunc(segments, func(segment Segment) bool {
+		h := t.histories[segment]
+		return h != nil && h.quarantined && h.outages() >= minOutagesConvicted && t.answeredAt.After(h.crashes[0].at)
+	})
+}
+
 // Suspected reports whether one of the segments was never answered and was in flight at a crash.
 func (t *SegmentTracker) Suspected(segments []Segment) bool {
 	return slices.ContainsFunc(segments, func(segment Segment) bool {
@@ -386,3 +419,13 @@
 	})
 	return t.refresh()
 }
+
+// HasCrashes reports whether any segment is under suspicion or quarantined.
+func (t *SegmentTracker) HasCrashes() bool {
+	for _, h := range t.histories {
+		if len(h.crashes) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/lib/hwquarantine/segment_test.go
+++ b/lib/hwquarantine/segment_test.go
@@ -200,6 +200,17 @@
 	assert.Equal(t, hwquarantine.Verdict{}, f.Decide(at(5401), segments, always))
 }
 
+// A sound segment was quarantined together with a crashing one, and each of its trials was a request with both, which crashed.
+func TestARequestWithOneQuarantinedSegmentIsTriedFirst(t *testing.T) {
+	f := newSegmentFixture()
+	f.crash(0, 1, fresh, guilty)
+	f.crash(0, 2, fresh, guilty)
+	both, alone := []hwquarantine.Segment{fresh, guilty}, []hwquarantine.Segment{fresh}
+	assert.True(t, f.Decide(at(5000), both, always).Refused)
+	assert.True(t, f.Decide(at(5000), alone, always).Trial)
+	assert.True(t, f.Decide(at(10_000), both, always).Trial, "segments that never come alone get their turn too")
+}
+
 // Turns pass from router to router, so that a segment whose requests come at a single router is tried there.
 func TestEveryRouterGetsATurnAndOnlyOneAtATime(t *testing.T) {
 	routers := []string{"a", "b", "c", "d"}
