The next lifetime of a silent upstream shows that it has crashed

Cause: a crash counted only if a new connection failed right after the old one broke. The list, which shows the next lifetime of such an engine, led to reports by fingerprint only.

Ruled out: taking silence itself for a crash.

Change: a lifetime that was listed as serving has crashed once the list shows a later one at its address. What was in flight there, ended in silence or not outlived yet is suspect, also if the connection breaks after the list has arrived.

--- a/lib/hwforward/quarantine.go
+++ b/lib/hwforward/quarantine.go
@@ -76,7 +76,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	delete(r.pendingChecks, upstream.ID)
-	if err != nil {
+	if err != nil || r.hasRestarted(upstream.Lifetime()) {
 		r.recordCrash(r.clock.Now(), upstream)
 	}
 }
@@ -88,20 +88,33 @@
 	return r.transport.Probe(ctx, upstream.Address)
 }
 
-// recordCrash records that an upstream accepts no connections. The lock must be held.
+// recordCrash records that an upstream accepts no connections, or that its next lifetime has begun. The lock must be held.
 func (r *Router) recordCrash(now time.Time, upstream hwplace.Upstream) {
 	lifetime := upstream.Lifetime()
-	if !r.isServing(now, upstream) {
+	restarted := r.hasRestarted(lifetime)
+	if !restarted && !r.isServing(now, upstream) {
 		r.confirmCrash(now, upstream.ID, nil)
 		return
 	}
 	exposures := r.exposures.Take(now, lifetime)
 	suspects := r.confirmCrash(now, upstream.ID, exposures)
 	at := crashTime(now, suspects)
-	suspects = slices.DeleteFunc(suspects, func(s crashSuspect) bool { return s.silent })
+	if !restarted {
+		suspects = r.setAsideSilent(now, suspects)
+	}
 	r.recordSegmentCrash(now, at, lifetime.Address, suspects)
 }
 
+// setAsideSilent returns the suspects whose connections the upstream closed itself. The others wait for the next lifetime, which shows that the upstream, and not the path to it, has failed. The lock must be held.
+func (r *Router) setAsideSilent(now time.Time, suspects []crashSuspect) []crashSuspect {
+	return slices.DeleteFunc(suspects, func(s crashSuspect) bool {
+		if s.silent {
+			r.exposures.Add(now, s.lifetime, s.Exposure)
+		}
+		return s.silent
+	})
+}
+
 // crashTime returns when an upstream crashed: when the first connection to it broke, or now if none did.
 func crashTime(now time.Time, suspects []crashSuspect) time.Time {
 	for _, s := range suspects {
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -119,6 +119,8 @@
 	// exposures are the executions of which it is not known yet whether their upstreams survived them, and survivalChecks the lifetimes that are to be checked for it.
 	exposures      *hwquarantine.Exposures[hwplace.Lifetime]
 	survivalChecks map[hwplace.Lifetime]bool
+	// restarts holds, by the lifetime that has ended, when the list showed the next one at its address.
+	restarts map[hwplace.Lifetime]time.Time
 	// attempts holds the attempts in flight whose prompts have segments, with the function that cancels each.
 	attempts map[*exchange]func()
 	// peersHeard is when each peer last sent an update.
@@ -158,6 +160,7 @@
 			MaxExposures: maxExposures,
 		}),
 		survivalChecks: map[hwplace.Lifetime]bool{},
+		restarts:       map[hwplace.Lifetime]time.Time{},
 		attempts:       map[*exchange]func(){},
 		peersHeard:     map[string]time.Time{},
 		upstreams:      map[string][]hwplace.Upstream{},
@@ -255,7 +258,8 @@
 	for _, id := range draining {
 		r.logLeaving(id, name, "list")
 	}
-	// An upstream that was removed or restarted is assumed to have crashed.
+	r.recordRestarts(now, name, added, list)
+	// Any other upstream that was removed or restarted is assumed to have crashed.
 	for _, id := range append(removed, added...) {
 		r.confirmCrash(now, id, nil)
 	}
--- a/lib/hwforward/segment_crash_test.go
+++ b/lib/hwforward/segment_crash_test.go
@@ -38,6 +38,8 @@
 	guilty  atomic.Int32
 	crashes atomic.Int32
 	next    atomic.Uint64
+	// listLock guards the list of upstreams while they restart.
+	listLock sync.Mutex
 }
 
 // newCrashingFleet returns a fleet whose upstreams crash once they have sent the given number of events; with more than there are, after the end of the answer.
@@ -48,7 +50,7 @@
 	for i := range handlers {
 		var crash sync.Once
 		handlers[i] = func(w http.ResponseWriter, r *http.Request) {
-			if !slices.Contains(strings.Split(r.Header.Get("X-Segments"), ","), strconv.Itoa(crashingSegment)) {
+			if !hasCrashingSegment(r) {
 				respondEvents(w, r)
 				return
 			}
@@ -76,6 +78,11 @@
 	return c
 }
 
+// hasCrashingSegment reports whether the prompt of a request contains the crashing segment.
+func hasCrashingSegment(r *http.Request) bool {
+	return slices.Contains(strings.Split(r.Header.Get("X-Segments"), ","), strconv.Itoa(crashingSegment))
+}
+
 // respondEvents streams a complete answer.
 func respondEvents(w http.ResponseWriter, r *http.Request) { respondFirstEvents(w, r, fleetEvents) }
 
--- a/lib/hwforward/survival.go
+++ b/lib/hwforward/survival.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"syscall"
 	"time"
@@ -47,7 +48,11 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.exposures.Add(now, upstream.Lifetime(), exposure)
-	if e.proof != hwquarantine.ProvesNothing {
+	switch {
+	case r.hasRestarted(upstream.Lifetime()):
+		// The list has shown the next lifetime while the request still waited for this one.
+		r.recordCrash(now, upstream)
+	case e.proof != hwquarantine.ProvesNothing:
 		r.checkSurvival(upstream)
 	}
 }
@@ -118,3 +123,25 @@
 		r.recordCrash(r.clock.Now(), upstream)
 	}
 }
+
+// recordRestarts records the lifetimes that have ended without notice: the list shows the next one at the address of an upstream that it showed as serving. The lock must be held.
+func (r *Router) recordRestarts(now time.Time, pool string, added []string, list []hwplace.Upstream) {
+	maps.DeleteFunc(r.restarts, func(_ hwplace.Lifetime, at time.Time) bool { return now.Sub(at) > exposureTTL })
+	for _, u := range list {
+		if !slices.Contains(added, u.ID) {
+			continue
+		}
+		for _, previous := range r.upstreams[pool] {
+			if previous.Address == u.Address && previous.Incarnation < u.Incarnation && r.isServing(now, previous) {
+				r.restarts[previous.Lifetime()] = now
+				r.recordCrash(now, previous)
+			}
+		}
+	}
+}
+
+// hasRestarted reports whether the list has shown that a lifetime ended without notice. The lock must be held.
+func (r *Router) hasRestarted(lifetime hwplace.Lifetime) bool {
+	_, restarted := r.restarts[lifetime]
+	return restarted
+}
