A stopping router sends nothing on that has not run by the end of the drain time

An operator of a similar system reported that requests which came late in the grace were cut at its end without an answer, among them requests that may not be repeated.

Cause here: the drain time was checked against the arrival of a request's head. A body that ended seconds later was sent on, and so was a request that one upstream had refused and the next one got. Both could still be running when the process exited.

Ruled out: requests that arrive whole after the drain time; they are refused (TestDrainingRouterRefusesRequestsAfterDrainTime).

--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -175,6 +175,9 @@
 	if refusal := e.refuseQuarantined(now); refusal != nil {
 		return refusal
 	}
+	if e.executions == 0 && r.drainTimeOver(now) {
+		return newRefusal(hwerror.KindShuttingDown, "the instance stops").WithRetryAfter(drainingRetryAfter)
+	}
 	query := hwplace.Request{
 		Prompt:      e.prompt,
 		Excluded:    e.excluded,
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -100,7 +100,8 @@
 	if !e.readRequestBody(table) {
 		return
 	}
-	if refusal := e.prepare(now, table); refusal != nil {
+	// Time has passed if the body came slowly.
+	if refusal := e.prepare(r.clock.Now(), table); refusal != nil {
 		e.writeRefusal(refusal)
 		return
 	}
