Requests in flight at the end of the grace period are answered

Cause here: Stop closed the connections of requests that still waited for their upstream. A closed connection does not even say that the request was read.

Change: 0.3 s before the end of the shutdown, all requests in flight are cancelled with a cause. Those that an upstream may have executed get 502, execution unknown; the others 503, not run. A response that has begun is cut, as before.

Before: TestRequestsInFlightAtTheEndOfTheGracePeriodAreAnswered fails, Shutdown times out and the connection ends. After: status 502.

--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -140,15 +140,23 @@
 	}
 }
 
-// endOnContext ends a request whose deadline has passed or whose client has disconnected.
+// ErrStopping is the cause with which a stopping server cancels the requests that are still in flight. Those that wait for their answer are told so.
+var ErrStopping = errors.New("the instance stops")
+
+// endOnContext ends a request whose deadline has passed, whose client has disconnected or whose instance stops.
 func (e *exchange) endOnContext(ctx context.Context, result attemptResult) {
+	stopping := errors.Is(context.Cause(ctx), ErrStopping)
 	switch {
-	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case !stopping && !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		e.status = hwerror.StatusClientClosedRequest
 		e.logEnd(hwerror.NewFailure(hwerror.KindCallerGone, hwerror.ExecutionUnknown, hwevent.CallerGone.Number, "the caller closed its connection", result.cause))
 		panic(http.ErrAbortHandler)
 	case e.headerSent:
 		e.abortResponse(result.cause)
+	case stopping && e.executions == 0:
+		e.writeRefusal(newRefusal(hwerror.KindShuttingDown, "the instance stops").WithRetryAfter(drainingRetryAfter))
+	case stopping:
+		e.writeRefusal(hwerror.NewFailure(hwerror.KindUpstreamFailed, hwerror.ExecutionUnknown, hwevent.RequestFailed.Number, "the instance stops before the upstream has answered", result.cause))
 	case e.executions == 0:
 		e.writeRefusal(newRefusal(hwerror.KindDeadlineCannotBeMet, "the time was over before an upstream took the request"))
 	default:
--- a/lib/hwfront/server.go
+++ b/lib/hwfront/server.go
@@ -58,16 +58,22 @@
 	stopping              atomic.Bool
 	// stopped is closed when Stop returns.
 	stopped chan struct{}
+	// baseContext returns the context of all requests, which endRequests cancels.
+	baseContext func(net.Listener) context.Context
+	endRequests context.CancelCauseFunc
 }
 
 // New returns a server that is not listening yet.
 func New(settings Settings, router *hwforward.Router, logger *hwevent.Logger, now func() time.Time) *Server {
+	base, endRequests := context.WithCancelCause(context.Background())
 	return &Server{
-		settings: settings,
-		router:   router,
-		logger:   logger,
-		now:      now,
-		stopped:  make(chan struct{}),
+		settings:    settings,
+		router:      router,
+		logger:      logger,
+		now:         now,
+		stopped:     make(chan struct{}),
+		baseContext: func(net.Listener) context.Context { return base },
+		endRequests: endRequests,
 	}
 }
 
@@ -95,6 +101,7 @@
 			IdleTimeout:       s.settings.IdleTimeout,
 			MaxHeaderBytes:    s.settings.MaxHeaderBytes,
 			ConnState:         s.connStateCounter(l.address == s.settings.ClientAddress),
+			BaseContext:       s.baseContext,
 			ErrorLog:          hwevent.StandardLogger(s.logger, hwevent.LibraryLine),
 		}
 		acceptEnded := make(chan struct{})
@@ -198,6 +205,9 @@
 // drainPollInterval is how often a stopping server checks for requests in flight.
 const drainPollInterval = 50 * time.Millisecond
 
+// finalAnswerTime is the part of ShutdownTimeout in which the requests that still wait for an upstream are told that its answer will not come.
+const finalAnswerTime = 300 * time.Millisecond
+
 // firstRequestTimeout is how long a stopping server waits for the first request on connections that it has just accepted. A client that sends nothing within this time loses no request.
 const firstRequestTimeout = 500 * time.Millisecond
 
@@ -211,6 +221,7 @@
 	s.logger.Emit(hwevent.RouterStopping, hwevent.With("instance", s.settings.Instance), hwevent.With("in-flight", s.router.InFlight()))
 	ctx, cancel := context.WithTimeout(ctx, s.settings.ShutdownTimeout)
 	defer cancel()
+	defer time.AfterFunc(s.settings.ShutdownTimeout-finalAnswerTime, func() { s.endRequests(hwforward.ErrStopping) }).Stop()
 	for ctx.Err() == nil && (s.now().Sub(stopStart) < s.settings.ShutdownDelay || s.router.InFlight() > 0) {
 		hwtask.Sleep(ctx, drainPollInterval)
 	}
@@ -235,7 +246,7 @@
 	}
 	for _, server := range s.servers {
 		if err := server.Shutdown(ctx); err != nil {
-			// The requests still in flight are aborted; their clients see a truncated response.
+			// The responses still in progress are aborted; their clients see that they are truncated.
 			failures = append(failures, err, server.Close())
 		}
 	}
--- a/lib/hwfront/server_test.go
+++ b/lib/hwfront/server_test.go
@@ -195,3 +195,41 @@
 	}
 	assert.Equal(t, 2, closed)
 }
+
+// Requests that still waited for their upstream at the end of the grace period were cut without an answer, so their callers could not tell whether the router had read them.
+func TestRequestsInFlightAtTheEndOfTheGracePeriodAreAnswered(t *testing.T) {
+	release, arrived := make(chan struct{}), make(chan struct{}, 1)
+	upstream := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-release
+	}))
+	defer upstream.Close()
+	defer close(release)
+	logger := hwevent.New(io.Discard, hwevent.Error)
+	router := newRouter(logger)
+	clients := freeAddress(t)
+	server := hwfront.New(hwfront.Settings{
+		ClientAddress:   clients,
+		ShutdownTimeout: time.Second,
+	}, router, logger, time.Now)
+	running := hwtask.Start(context.Background(), server.Start)
+	router.SetTable(time.Now(), hwtable.New(hwtable.Config{
+		Version: 1,
+		Routes:  []hwtable.Route{{Host: "127.0.0.1", Prefix: "/", Timeout: time.Minute, Targets: []hwtable.Target{{Pool: "p", Weight: 1}}}},
+		Pools:   []hwtable.Pool{{Name: "p"}},
+	}))
+	router.SetUpstreams(time.Now(), []hwplace.Upstream{{ID: "u", Address: upstream.Listener.Addr().String(), Pool: "p", Slots: 4}})
+	router.ConfirmTable(time.Now(), time.Hour)
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp4", clients)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err == nil
+	}, 5*time.Second, time.Millisecond)
+	status := make(chan int, 1)
+	go func() { status <- getStatus(t, "http://"+clients+"/order") }()
+	<-arrived
+	require.NoError(t, hwtask.Join(hwtask.Start(context.Background(), server.Stop), running))
+	assert.Equal(t, http.StatusBadGateway, <-status, "nothing is promised about whether it ran")
+}
