Every answer is judged by its head before it takes a path

Cause: the checks of an answer stood in the path that buffers whole answers; streams and continuations do not pass there.

Change: rejectionReason judges the head of every answer. The presence of the field counts, whatever its value. Media types are compared without case and parameters: a stream in another case was held back to its end.

Before: TestAnUnacceptableAnswerIsRejectedOnEveryPath fails for both kinds of streams with each encoding, and TestAStreamIsRecognisedByItsMediaTypeInAnyForm for two forms.

--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwadmit"
@@ -377,13 +378,16 @@
 	e.executions++
 	// A client that leaves ends the attempt with a panic.
 	defer e.recordExposure()
+	reason := rejectionReason(response, info)
 	switch {
-	case e.headerSent && !e.continuesStream(response, info):
-		return e.rejectResumption(ctx, response)
-	case e.isStream(response, info):
+	case reason != "":
+		return e.rejectResponse(ctx, reason)
+	case e.headerSent && !e.continuesStream(response):
+		return e.rejectResponse(ctx, "to a resumed stream is not its continuation, status "+strconv.Itoa(response.Status))
+	case e.isStream(response):
 		return e.relayStream(ctx, response)
 	}
-	return e.bufferAndRelay(ctx, response, info)
+	return e.bufferAndRelay(ctx, response)
 }
 
 // nonRetryableMaxIdle is the maximum idle time of a connection that is reused for a request that must not be executed twice. Upstreams that drop idle connections without closing them do so after seconds.
--- a/lib/hwforward/stream.go
+++ b/lib/hwforward/stream.go
@@ -24,27 +24,20 @@
 const eventStreamType = "text/event-stream"
 
 // isStream reports whether a response is an event stream. An upstream that states no type is taken at the route's word.
-func (e *exchange) isStream(response *hwlink.Response, info ResponseInfo) bool {
+func (e *exchange) isStream(response *hwlink.Response) bool {
 	contentType := response.Header.Get("Content-Type")
-	return e.route.Streaming && response.Status == http.StatusOK && info.Signed &&
-		(contentType == "" || strings.HasPrefix(contentType, eventStreamType))
+	return e.route.Streaming && response.Status == http.StatusOK && (contentType == "" || mediaType(contentType) == eventStreamType)
 }
 
-// continuesStream reports whether a response can be the continuation of the stream that the client has begun to receive.
-func (e *exchange) continuesStream(response *hwlink.Response, info ResponseInfo) bool {
-	return e.isStream(response, info) && response.Header.Get("Content-Type") == e.writer.Header().Get("Content-Type")
+// mediaType returns the type of a Content-Type field without parameters and in lower case.
+func mediaType(contentType string) string {
+	name, _, _ := strings.Cut(contentType, ";")
+	return strings.ToLower(strings.TrimSpace(name))
 }
 
-// rejectResumption ends an attempt to resume a stream to which the upstream did not respond with a stream. The client already has the first part of the stream, so nothing of this response may be relayed.
-func (e *exchange) rejectResumption(ctx context.Context, response *hwlink.Response) attemptResult {
-	e.finishAttempt(ctx, true, nil)
-	e.excluded = append(e.excluded, e.choice.Upstream.ID)
-	return attemptResult{
-		outcome: failed,
-		cause: &ResponseError{
-			Reason: "to a resumed stream is not its continuation, status " + strconv.Itoa(response.Status),
-		},
-	}
+// continuesStream reports whether a response can be the continuation of the stream that the client has begun to receive.
+func (e *exchange) continuesStream(response *hwlink.Response) bool {
+	return e.isStream(response) && mediaType(response.Header.Get("Content-Type")) == mediaType(e.writer.Header().Get("Content-Type"))
 }
 
 // relayStream relays an event stream in complete events only. If the stream breaks off inside an event, the client receives no part of that event and the stream can be resumed at another upstream.
--- a/lib/hwforward/whole.go
+++ b/lib/hwforward/whole.go
@@ -14,7 +14,6 @@
 	status int
 	header http.Header
 	body   []byte
-	signed bool
 }
 
 // maxResponseBytes is the maximum size of the body of a buffered response.
@@ -28,7 +27,7 @@
 func (e *ResponseError) Error() string { return "the upstream's response " + e.Reason }
 
 // bufferAndRelay reads a response to its end before relaying it, so that a truncated response never reaches the client.
-func (e *exchange) bufferAndRelay(ctx context.Context, response *hwlink.Response, info ResponseInfo) attemptResult {
+func (e *exchange) bufferAndRelay(ctx context.Context, response *hwlink.Response) attemptResult {
 	r := e.router
 	body, err := readLimited(response.Body, response.Length, maxResponseBytes, e.reserveMemory)
 	if err != nil {
@@ -44,17 +43,6 @@
 		status: response.Status,
 		header: response.Header,
 		body:   body,
-		signed: info.Signed,
-	}
-	if reason := e.rejectionReason(buffered); reason != "" {
-		e.finishAttempt(ctx, true, nil)
-		e.excluded = append(e.excluded, e.choice.Upstream.ID)
-		return attemptResult{
-			outcome: failed,
-			cause: &ResponseError{
-				Reason: reason,
-			},
-		}
 	}
 	e.recordProgress()
 	serverError := buffered.status >= http.StatusInternalServerError
@@ -79,21 +67,34 @@
 	}
 }
 
-// rejectionReason returns why a response must not be relayed, or an empty string.
-func (e *exchange) rejectionReason(buffered *bufferedResponse) string {
+// rejectionReason returns why nothing of a response may be relayed, whole or as a stream, or an empty string.
+func rejectionReason(response *hwlink.Response, info ResponseInfo) string {
+	_, encoded := response.Header["Content-Encoding"]
 	switch {
-	case buffered.header.Get("Content-Encoding") != "":
+	case encoded:
 		return "has a content encoding that was not requested"
-	case buffered.status < http.StatusMultipleChoices && !buffered.signed:
+	case response.Status < http.StatusMultipleChoices && !info.Signed:
 		return "is not signed"
-	case promisesNotExecuted(buffered.status):
+	case promisesNotExecuted(response.Status):
 		// This status would tell the client that the request was not executed, which the response does not prove.
-		return "has status " + strconv.Itoa(buffered.status) + " without stating that the request was not executed"
+		return "has status " + strconv.Itoa(response.Status) + " without stating that the request was not executed"
 	default:
 		return ""
 	}
 }
 
+// rejectResponse ends an attempt of whose response nothing may be relayed.
+func (e *exchange) rejectResponse(ctx context.Context, reason string) attemptResult {
+	e.finishAttempt(ctx, true, nil)
+	e.excluded = append(e.excluded, e.choice.Upstream.ID)
+	return attemptResult{
+		outcome: failed,
+		cause: &ResponseError{
+			Reason: reason,
+		},
+	}
+}
+
 // promisesNotExecuted reports whether a status tells a client that its request was not executed.
 func promisesNotExecuted(status int) bool {
 	switch status {
