Whole requests are quarantined by the tracker of prompt segments

Cause: crash reports of whole requests expired after 30 s, also those that held a request. Requests that came less often than three times in that window were never held; upstreams counted by ID, so two replicas that restart under their IDs never made three.

Ruled out: a longer window alone, which changes the period and no more.

Change: the identity of a whole request is one more suspect of the tracker that has trials, release and memory bounds already. Suspicion lasts as long as quarantine. The second tracker, its settings and its part of the datagrams are gone from this data path. One crash is one update of the tracker, however many requests were in flight.

Also: without a start time in its entry, an upstream's next lifetime is told by its ID.

--- a/lib/hwfleet/datagram.go
+++ b/lib/hwfleet/datagram.go
@@ -74,14 +74,6 @@
 			Given:   uint32(usage.Admitted),
 		})
 	}
-	for _, s := range update.Strikes {
-		datagram.Strikes = append(datagram.Strikes, &hwpeerpb.CrashStrike{
-			Fingerprint: uint64(s.Fingerprint),
-			Upstream:    s.Upstream,
-			AgeMs:       reportAge(now, s.OccurredAt),
-			Cleared:     s.Cleared,
-		})
-	}
 	for _, r := range update.SegmentReports {
 		datagram.Segments = append(datagram.Segments, &hwpeerpb.SegmentReport{
 			Segment:        uint64(r.Segment),
@@ -140,14 +132,6 @@
 			}
 		}
 	}
-	for _, s := range datagram.GetStrikes() {
-		update.Strikes = append(update.Strikes, hwquarantine.CrashReport{
-			Fingerprint: hwquarantine.Fingerprint(s.GetFingerprint()),
-			Upstream:    s.GetUpstream(),
-			OccurredAt:  now.Add(-time.Duration(s.GetAgeMs()) * time.Millisecond),
-			Cleared:     s.GetCleared(),
-		})
-	}
 	for _, r := range datagram.GetSegments() {
 		update.SegmentReports = append(update.SegmentReports, hwquarantine.SegmentReport{
 			Segment:        hwquarantine.Segment(r.GetSegment()),
--- a/lib/hwfleet/fleet_test.go
+++ b/lib/hwfleet/fleet_test.go
@@ -92,7 +92,6 @@
 		Loads:        map[string][]hwplace.PeerLoad{"pool": {{Upstream: hwplace.HashID("u"), PendingTokens: 1234, Running: 5}}},
 		AccountUsage: map[string]hwadmit.Usage{"account": {Demand: 100, Admitted: 50}},
 		Prefills:     []hwforward.Prefill{{Pool: "pool", Upstream: hwplace.HashID("u"), Prefix: hwprompt.ChainedSegment{PrefixHash: 1 << 60, Tokens: 77}}},
-		Strikes:      []hwquarantine.CrashReport{{Fingerprint: 1 << 61, Upstream: "u", OccurredAt: time.Now(), Cleared: true}},
 		SegmentReports: []hwquarantine.SegmentReport{
 			{Segment: 1 << 62, Kind: hwquarantine.SegmentCrashed, At: time.Now().Add(-20 * time.Hour), Upstream: 9, AnsweredBefore: true},
 			{Segment: 1 << 62, Kind: hwquarantine.SegmentTried, At: time.Now(), Trials: 2},
@@ -109,9 +108,6 @@
 	assert.Equal(t, update.Loads, got.Loads)
 	assert.Equal(t, update.AccountUsage, got.AccountUsage)
 	assert.Equal(t, update.Prefills, got.Prefills)
-	require.Len(t, got.Strikes, 1)
-	assert.True(t, got.Strikes[0].Cleared)
-	assert.WithinDuration(t, update.Strikes[0].OccurredAt, got.Strikes[0].OccurredAt, 2*time.Second)
 	require.Len(t, got.SegmentReports, 2)
 	for i, report := range got.SegmentReports {
 		assert.WithinDuration(t, update.SegmentReports[i].At, report.At, 2*time.Second)
--- a/lib/hwforward/cachelist.go
+++ b/lib/hwforward/cachelist.go
@@ -47,7 +47,7 @@
 		p.RecordCacheList(u.ID, segments)
 	}
 	for _, segment := range segments {
-		r.segments.RecordCached(hwquarantine.Segment(segment.ContentHash()))
+		r.segments.RecordCached(hwquarantine.PromptSegment(segment.ContentHash()))
 	}
 }
 
--- a/lib/hwforward/news.go
+++ b/lib/hwforward/news.go
@@ -25,8 +25,7 @@
 	// AccountUsage is nil if the update does not include it.
 	AccountUsage map[string]hwadmit.Usage
 	Prefills     []Prefill
-	Strikes      []hwquarantine.CrashReport
-	// SegmentReports are about segments of prompts at which upstreams crash.
+	// SegmentReports are about requests, and segments of prompts, at which upstreams crash.
 	SegmentReports []hwquarantine.SegmentReport
 	// Leaving are the upstreams that have told this router lately that they leave.
 	Leaving []hwplace.LifetimeHash
@@ -36,7 +35,6 @@
 const (
 	maxPrefillsPerUpdate     = 200
 	maxObservationsPerUpdate = 100
-	maxCrashReportsPerUpdate = 20
 	// maxSegmentReportsPerUpdate keeps them below 3 kB of a datagram.
 	maxSegmentReportsPerUpdate = 100
 	maxLeavingPerUpdate        = 200
@@ -45,9 +43,6 @@
 // usageInterval is the minimum time between two updates that include the accounts' usage. The usage is averaged over seconds, so it changes slowly.
 const usageInterval = 600 * time.Millisecond
 
-// strikeRepeatInterval is the time after which the crash reports of quarantined requests are sent again, for routers that have started or were cut off meanwhile.
-const strikeRepeatInterval = 2 * time.Second
-
 // TakePeerUpdate returns the next update for the peers and removes its contents from what is pending. What exceeds the limits stays pending for the next update.
 func (r *Router) TakePeerUpdate(now time.Time) PeerUpdate {
 	r.lock.Lock()
@@ -69,11 +64,6 @@
 		}
 	}
 	update.Prefills, r.pendingUpdate.Prefills = splitAt(r.pendingUpdate.Prefills, maxPrefillsPerUpdate)
-	update.Strikes, r.pendingUpdate.Strikes = splitAt(r.pendingUpdate.Strikes, maxCrashReportsPerUpdate)
-	if now.Sub(r.strikesRepeatedAt) >= strikeRepeatInterval {
-		r.strikesRepeatedAt = now
-		update.Strikes = append(update.Strikes, r.quarantine.QuarantinedReports(now, maxCrashReportsPerUpdate)...)
-	}
 	update.SegmentReports = r.takeSegmentReports(now)
 	update.Leaving = r.notices.LeavingToShare(now, maxLeavingPerUpdate)
 	return update
@@ -105,7 +95,6 @@
 			p.RecordCachedSegment(prefill.Upstream, prefill.Prefix)
 		}
 	}
-	r.mergeCrashReports(now, update.Strikes, false)
 	r.mergeSegmentReports(now, peer, update.SegmentReports)
 	r.applyPeerLeaving(now, update.Leaving)
 }
--- a/lib/hwforward/quarantine.go
+++ b/lib/hwforward/quarantine.go
@@ -141,7 +141,7 @@
 	return errors.Is(err, syscall.ETIMEDOUT) || errors.As(err, &networkErr) && networkErr.Timeout()
 }
 
-// confirmCrash turns the recent suspects of a crashed upstream, and the executions that it has not outlived, into crash reports, and returns them. The lock must be held.
+// confirmCrash removes, logs and returns the recent suspects of a crashed upstream, and the executions that it has not outlived. The lock must be held.
 func (r *Router) confirmCrash(now time.Time, upstream string, exposures []hwquarantine.Exposure) []crashSuspect {
 	var suspects []crashSuspect
 	r.crashSuspects = slices.DeleteFunc(r.crashSuspects, func(s crashSuspect) bool {
@@ -162,16 +162,7 @@
 			begun: x.Proof != hwquarantine.ProvesNothing,
 		})
 	}
-	reports := make([]hwquarantine.CrashReport, 0, len(suspects))
-	for _, s := range suspects {
-		reports = append(reports, hwquarantine.CrashReport{
-			Fingerprint: s.Fingerprint,
-			Upstream:    upstream,
-			OccurredAt:  s.EndedAt,
-		})
-	}
 	r.logCrash(upstream, suspects)
-	r.mergeCrashReports(now, reports, true)
 	return suspects
 }
 
@@ -186,7 +177,7 @@
 		r.logger.Emit(hwevent.CrashSuspect,
 			hwevent.With("request-id", s.RequestID),
 			hwevent.With("upstream", upstream),
-			hwevent.With("fingerprint", uint64(s.Fingerprint)),
+			hwevent.With("request", s.Request.String()),
 			hwevent.With("begun", s.begun),
 			hwevent.With("ended", s.Proof != hwquarantine.ProvesNothing),
 			hwevent.With("sends", s.Sends),
@@ -202,27 +193,3 @@
 	}
 	return strings.Join(texts, ",")
 }
-
-// mergeCrashReports adds crash reports and logs the requests that they quarantine. Reports by this router itself are also sent to the peers. The lock must be held.
-func (r *Router) mergeCrashReports(now time.Time, reports []hwquarantine.CrashReport, local bool) {
-	if len(reports) == 0 {
-		return
-	}
-	for _, fingerprint := range r.quarantine.Merge(now, reports...) {
-		r.logger.Emit(hwevent.RequestQuarantined, hwevent.With("fingerprint", uint64(fingerprint)))
-	}
-	if local {
-		r.pendingUpdate.Strikes = append(r.pendingUpdate.Strikes, reports...)
-	}
-}
-
-// clearCrashReports clears the crash reports of a request that an upstream has survived. The lock must be held.
-func (r *Router) clearCrashReports(now time.Time, fingerprint hwquarantine.Fingerprint) {
-	r.mergeCrashReports(now, []hwquarantine.CrashReport{
-		{
-			Fingerprint: fingerprint,
-			OccurredAt:  now,
-			Cleared:     true,
-		},
-	}, true)
-}
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -41,9 +41,7 @@
 	DrainTime time.Duration
 	// GeneratedTokenWeight is the cost of one generated token, in prompt tokens.
 	GeneratedTokenWeight float64
-	// Quarantine configures the quarantine of requests that crash upstreams.
-	Quarantine hwquarantine.Settings
-	// Segments configures the quarantine of segments of prompts at which upstreams crash.
+	// Segments configures the quarantine of requests, and segments of prompts, at which upstreams crash.
 	Segments hwquarantine.SegmentSettings
 	// SettleTime is how long after the end of an answer its request may still crash the upstream.
 	SettleTime time.Duration
@@ -104,7 +102,6 @@
 	shares       *hwadmit.FairShares
 	// returnSchedules is keyed by pool.
 	returnSchedules map[string]*hwadmit.ReturnSchedule
-	quarantine      *hwquarantine.CrashTracker
 	// notices are what upstreams have said of themselves in answers.
 	notices *hwplace.Notices
 	// upstreams is the current list of upstreams by pool.
@@ -128,8 +125,6 @@
 	// pendingUpdate is what has not been sent to the peers yet; usageSentAt is when the accounts' usage was last sent.
 	pendingUpdate PeerUpdate
 	usageSentAt   time.Time
-	// strikesRepeatedAt is when the crash reports of quarantined requests were last repeated.
-	strikesRepeatedAt time.Time
 }
 
 // New returns a router without a table or upstreams.
@@ -149,7 +144,6 @@
 		retryBudgets:    map[string]*hwretry.Budget{},
 		shares:          hwadmit.NewFairShares(settings.ShareWindow),
 		returnSchedules: map[string]*hwadmit.ReturnSchedule{},
-		quarantine:      hwquarantine.New(settings.Quarantine),
 		notices:         hwplace.NewNotices(),
 		pendingChecks:   map[string]chan struct{}{},
 		segments:        hwquarantine.NewSegmentTracker(settings.Segments),
--- a/lib/hwforward/segment_crash_test.go
+++ b/lib/hwforward/segment_crash_test.go
@@ -284,7 +284,7 @@
 // segment returns the segment with an ID in the prompts of the test's model.
 func (f *fixture) segment(id uint64) hwquarantine.Segment {
 	content := hwprompt.New("m", 0, []hwprompt.Segment{{ID: id}, {ID: 1}}).SharedContent()
-	return hwquarantine.Segment(content[0])
+	return hwquarantine.PromptSegment(content[0])
 }
 
 // A router that is cut off sees all its upstreams fall silent at once. It must not put its callers' segments away when it returns.
@@ -301,24 +301,21 @@
 func TestPeersThatMissedTheReportsLearnOfQuarantinedRequests(t *testing.T) {
 	f, late := newFixture(t, respondOK), newFixture(t, respondOK)
 	now := f.clock.now()
-	var strikes []hwquarantine.CrashReport
-	for _, upstream := range []string{"u1", "u2"} {
-		strikes = append(strikes, hwquarantine.CrashReport{
-			Fingerprint: 5,
-			Upstream:    upstream,
-			OccurredAt:  now,
-		})
+	report := func(segment hwquarantine.Segment, upstream hwquarantine.UpstreamHash) hwquarantine.SegmentReport {
+		return hwquarantine.SegmentReport{
+			Segment:  segment,
+			Kind:     hwquarantine.SegmentCrashed,
+			At:       now,
+			Upstream: upstream,
+		}
 	}
-	strikes = append(strikes, hwquarantine.CrashReport{
-		Fingerprint: 6,
-		Upstream:    "u1",
-		OccurredAt:  now,
+	f.router.ApplyPeerUpdate(now, "peer", hwforward.PeerUpdate{
+		SegmentReports: []hwquarantine.SegmentReport{report(5, 1), report(5, 2), report(6, 1)},
 	})
-	f.router.ApplyPeerUpdate(now, "peer", hwforward.PeerUpdate{Strikes: strikes})
 	f.router.TakePeerUpdate(now)
 	later := now.Add(3 * time.Second)
 	update := f.router.TakePeerUpdate(later)
-	assert.Len(t, update.Strikes, 2, "only those of the quarantined request")
+	assert.Len(t, update.SegmentReports, 2, "only those of the quarantined request")
 	late.router.ApplyPeerUpdate(later, "r0", update)
-	assert.Contains(t, late.log.String(), `"fingerprint":5`)
+	assert.Contains(t, late.log.String(), `"segment":"5"`)
 }
--- a/lib/hwforward/segments.go
+++ b/lib/hwforward/segments.go
@@ -19,17 +19,22 @@
 	trialPeerTimeout = 2 * time.Second
 )
 
-// decideSegments refuses the request if one of its segments is quarantined and no trial is due. The lock must be held.
+// suspects returns all that may crash an upstream: the segments of the prompt and the whole request.
+func (e *exchange) suspects() []hwquarantine.Segment {
+	return append(slices.Clone(e.segments), e.identity)
+}
+
+// decideSegments refuses the request if it, or one of its segments, is quarantined and no trial is due. The lock must be held.
 func (e *exchange) decideSegments(now time.Time) *hwerror.RequestError {
 	r := e.router
-	verdict := r.segments.Decide(now, e.segments, func(segment hwquarantine.Segment, turn int) bool {
+	verdict := r.segments.Decide(now, e.suspects(), func(segment hwquarantine.Segment, turn int) bool {
 		return hwquarantine.TrialOwner(r.liveRouters(now), segment, turn) == r.settings.Instance
 	})
 	e.trial = verdict.Trial
 	if !verdict.Refused {
 		return nil
 	}
-	return newRefusal(hwerror.KindRequestQuarantined, "upstreams crash at a segment of the prompt").WithRetryAfter(verdict.RetryAfter)
+	return newRefusal(hwerror.KindRequestQuarantined, "upstreams crash at this request").WithRetryAfter(verdict.RetryAfter)
 }
 
 // liveRouters returns the names of this router and of the peers that were heard lately.
@@ -40,11 +45,11 @@
 
 // refuseQuarantined decides again, before each attempt, about a request whose segments may have been quarantined since it was admitted. The lock must be held.
 func (e *exchange) refuseQuarantined(now time.Time) *hwerror.RequestError {
-	if _, quarantined := e.router.segments.Quarantined(e.segments); !quarantined {
+	if _, quarantined := e.router.segments.Quarantined(e.suspects()); !quarantined {
 		return nil
 	}
 	if e.executions > 0 {
-		return hwerror.NewFailure(hwerror.KindUpstreamFailed, hwerror.ExecutionUnknown, hwevent.RequestFailed.Number, "upstreams crash at a segment of the prompt", nil)
+		return hwerror.NewFailure(hwerror.KindUpstreamFailed, hwerror.ExecutionUnknown, hwevent.RequestFailed.Number, "upstreams crash at this request", nil)
 	}
 	if e.trial && e.attempts > 0 {
 		// The trial has begun, and no upstream has executed it yet.
@@ -55,7 +60,7 @@
 
 // beginTrial records that the request is sent as a trial. The lock must be held.
 func (r *Router) beginTrial(now time.Time, e *exchange) {
-	r.segments.BeginTrial(now, e.segments)
+	r.segments.BeginTrial(now, e.suspects())
 	r.logger.Emit(hwevent.SegmentTried, hwevent.With("request-id", e.info.ID), hwevent.With("upstream", e.choice.Upstream.ID), hwevent.With("segments", hexList(e.segments[:min(len(e.segments), maxLoggedSegments)])))
 }
 
@@ -88,28 +93,24 @@
 
 // watchAttempt makes it possible to cancel the attempt.
 func (r *Router) watchAttempt(e *exchange, cancel context.CancelFunc) {
-	if len(e.segments) == 0 {
-		return
-	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.attempts[e] = cancel
 }
 
 func (r *Router) unwatchAttempt(e *exchange) {
-	if len(e.segments) == 0 {
-		return
-	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	delete(r.attempts, e)
 }
 
-// recordSegmentCrash records the crash of an upstream against the segments of the suspects. The lock must be held.
+// recordSegmentCrash records the crash of an upstream against all that the suspects are identified by. The lock must be held.
 func (r *Router) recordSegmentCrash(now, at time.Time, address string, suspects []crashSuspect) {
+	var segments []hwquarantine.Segment
 	for _, s := range suspects {
-		r.logSegmentChanges(r.segments.RecordCrash(now, at, hwquarantine.UpstreamHash(hwplace.HashID(address)), s.Segments))
+		segments = append(segments, s.Suspects()...)
 	}
+	r.logSegmentChanges(r.segments.RecordCrash(now, at, hwquarantine.UpstreamHash(hwplace.HashID(address)), segments))
 	r.cancelQuarantined()
 }
 
@@ -134,7 +135,10 @@
 func (r *Router) logSegmentChanges(changes []hwquarantine.SegmentChange) {
 	for _, c := range changes {
 		event := hwevent.SegmentReleased
-		if c.Quarantined {
+		switch {
+		case c.Quarantined && c.Segment.IsRequest():
+			event = hwevent.RequestQuarantined
+		case c.Quarantined:
 			event = hwevent.SegmentQuarantined
 		}
 		r.logger.Emit(event, hwevent.With("segment", c.Segment.String()), hwevent.With("crashes", c.Crashes))
@@ -147,10 +151,10 @@
 		return
 	}
 	for e, cancel := range r.attempts {
-		if e.trial || e.begun && !r.segments.Convicted(e.segments) {
+		if e.trial || e.begun && !r.segments.Convicted(e.suspects()) {
 			continue
 		}
-		if crashes, quarantined := r.segments.Quarantined(e.segments); quarantined && crashes >= cancelCrashes {
+		if crashes, quarantined := r.segments.Quarantined(e.suspects()); quarantined && crashes >= cancelCrashes {
 			delete(r.attempts, e)
 			e.cancelled.Store(true)
 			cancel()
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -36,9 +36,9 @@
 	cost      float64
 	arrivedAt time.Time
 	// deadline is when the response must be complete.
-	deadline    time.Time
-	fingerprint hwquarantine.Fingerprint
-	// segments are those of the prompt that other requests may share.
+	deadline time.Time
+	// identity identifies the whole request, and segments are those of the prompt that other requests may share.
+	identity hwquarantine.Segment
 	segments []hwquarantine.Segment
 	// trial is set if the request is sent although one of its segments is quarantined.
 	trial bool
@@ -205,16 +205,13 @@
 	}
 	e.prompt = hwprompt.New(e.info.Model, e.info.PromptTokens, e.info.PromptParts)
 	e.cost = float64(e.info.PromptTokens) + r.settings.GeneratedTokenWeight*float64(e.info.MaxOutputTokens)
-	e.fingerprint = e.requestFingerprint()
+	e.identity = e.requestIdentity()
 	for _, hash := range e.prompt.SharedContent() {
-		e.segments = append(e.segments, hwquarantine.Segment(hash))
+		e.segments = append(e.segments, hwquarantine.PromptSegment(hash))
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	e.pool = route.PickPool(r.random.Float64())
-	if _, quarantined := r.quarantine.Quarantined(now, e.fingerprint); quarantined {
-		return newRefusal(hwerror.KindRequestQuarantined, "the request has crashed several upstreams")
-	}
 	if refusal := e.decideSegments(now); refusal != nil {
 		return refusal
 	}
@@ -236,13 +233,13 @@
 	return request.URL.RequestURI()
 }
 
-// requestFingerprint returns a fingerprint that is the same for every repetition of the request: it covers account, method, target, body and prompt.
-func (e *exchange) requestFingerprint() hwquarantine.Fingerprint {
+// requestIdentity returns an identity that is the same for every repetition of the request: it covers account, method, target, body and prompt.
+func (e *exchange) requestIdentity() hwquarantine.Segment {
 	contentHash := xxhash.Sum64(e.body)
 	for _, segment := range e.prompt.Segments() {
 		contentHash = contentHash*31 + segment.PrefixHash
 	}
-	return hwquarantine.FingerprintOf(e.account, e.request.Method+" "+requestTarget(e.request), contentHash)
+	return hwquarantine.RequestIdentity(e.account, e.request.Method+" "+requestTarget(e.request), contentHash)
 }
 
 // writeRefusal ends the request with an error response from the router itself.
--- a/lib/hwforward/survival.go
+++ b/lib/hwforward/survival.go
@@ -27,12 +27,12 @@
 // exposure returns what an upstream has been exposed to by the present attempt, which has ended.
 func (e *exchange) exposure(now time.Time) hwquarantine.Exposure {
 	return hwquarantine.Exposure{
-		RequestID:   e.info.ID,
-		Fingerprint: e.fingerprint,
-		Segments:    e.segments,
-		Sends:       e.attempts,
-		EndedAt:     now,
-		Proof:       e.proof,
+		RequestID: e.info.ID,
+		Request:   e.identity,
+		Segments:  e.segments,
+		Sends:     e.attempts,
+		EndedAt:   now,
+		Proof:     e.proof,
 	}
 }
 
@@ -59,18 +59,14 @@
 
 // isUndecided reports whether the survival of an execution would change what is known of its request. The lock must be held.
 func (r *Router) isUndecided(x hwquarantine.Exposure) bool {
-	return x.Proof != hwquarantine.ProvesNothing && r.quarantine.HasCrashes(x.Fingerprint) ||
-		x.Proof == hwquarantine.ProvesSegments && !r.segments.AllAnswered(x.Segments)
+	return r.segments.Suspected(x.Survived()) || x.Proof == hwquarantine.ProvesSegments && !r.segments.AllAnswered(x.Segments)
 }
 
 // recordSurvival records that an attempt, sent at sentAt, has just made progress at an upstream. The lock must be held.
 func (r *Router) recordSurvival(now time.Time, lifetime hwplace.Lifetime, sentAt time.Time) {
 	for _, x := range r.exposures.Survived(now, lifetime, sentAt) {
-		if x.Proof != hwquarantine.ProvesNothing && r.quarantine.HasCrashes(x.Fingerprint) {
-			r.clearCrashReports(now, x.Fingerprint)
-		}
-		if x.Proof == hwquarantine.ProvesSegments && len(x.Segments) > 0 {
-			r.logSegmentChanges(r.segments.RecordAnswer(now, x.Segments))
+		if survived := x.Survived(); len(survived) > 0 {
+			r.logSegmentChanges(r.segments.RecordAnswer(now, survived))
 		}
 	}
 }
@@ -100,7 +96,7 @@
 	delete(r.survivalChecks, lifetime)
 	settled := r.exposures.Settled(now, lifetime)
 	undecided := slices.ContainsFunc(settled, r.isUndecided)
-	suspicion := r.segments.HasCrashes() || !r.quarantine.IsEmpty()
+	suspicion := r.segments.HasCrashes()
 	r.lock.Unlock()
 	if len(settled) == 0 {
 		return
@@ -132,7 +128,7 @@
 			continue
 		}
 		for _, previous := range r.upstreams[pool] {
-			if previous.Address == u.Address && previous.Incarnation < u.Incarnation && r.isServing(now, previous) {
+			if previous.Address == u.Address && isLaterLifetime(u, previous) && r.isServing(now, previous) {
 				r.restarts[previous.Lifetime()] = now
 				r.recordCrash(now, previous)
 			}
@@ -140,6 +136,14 @@
 	}
 }
 
+// isLaterLifetime reports whether an upstream is a later lifetime than another one at its address. Without incarnations, only the ID tells two lifetimes apart.
+func isLaterLifetime(u, previous hwplace.Upstream) bool {
+	if u.Incarnation == 0 && previous.Incarnation == 0 {
+		return u.ID != previous.ID
+	}
+	return u.Incarnation > previous.Incarnation
+}
+
 // hasRestarted reports whether the list has shown that a lifetime ended without notice. The lock must be held.
 func (r *Router) hasRestarted(lifetime hwplace.Lifetime) bool {
 	_, restarted := r.restarts[lifetime]
--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -245,11 +245,6 @@
 		BodyTimeout:       2 * time.Second,
 		WriteTimeout:      2 * time.Second,
 		DrainTime:         time.Second,
-		Quarantine: hwquarantine.Settings{
-			ReportTTL:       time.Minute,
-			MinUpstreams:    2,
-			MaxFingerprints: 100,
-		},
 		Segments: hwquarantine.SegmentSettings{
 			MinCrashes:         2,
 			MinCrashesAnswered: 5,
--- a/lib/hwfront/server_test.go
+++ b/lib/hwfront/server_test.go
@@ -21,7 +21,6 @@
 	"github.com/hickorywick/hickorywick/lib/hwfront"
 	"github.com/hickorywick/hickorywick/lib/hwlink"
 	"github.com/hickorywick/hickorywick/lib/hwplace"
-	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 	"github.com/hickorywick/hickorywick/lib/hwtable"
 	"github.com/hickorywick/hickorywick/lib/hwtask"
 )
@@ -127,7 +126,6 @@
 		DrainTime:       time.Hour,
 		BodyTimeout:     time.Second,
 		WriteTimeout:    time.Second,
-		Quarantine:      hwquarantine.Settings{ReportTTL: time.Minute, MinUpstreams: 2, MaxFingerprints: 10},
 	}, hwforward.Dependencies{
 		Protocol:  plainProtocol{},
 		Transport: hwlink.New(hwlink.Settings{DialTimeout: time.Second, TCPUserTimeout: 2 * time.Second}),
--- a/lib/hwquarantine/exposure.go
+++ b/lib/hwquarantine/exposure.go
@@ -20,9 +20,10 @@
 
 // Exposure is an execution that has ended. Its request remains a suspect until the upstream is known to have survived it, because a crash may follow the last byte of an answer.
 type Exposure struct {
-	RequestID   string
-	Fingerprint Fingerprint
-	Segments    []Segment
+	RequestID string
+	// Request identifies the whole request, and Segments are those of its prompt that other requests may share.
+	Request  Segment
+	Segments []Segment
 	// Sends is the number of attempts of the request so far.
 	Sends   int
 	EndedAt time.Time
@@ -129,3 +130,18 @@
 		x.count += len(pending)
 	}
 }
+
+// Suspects returns all that may crash the upstream: the segments of the prompt and the whole request.
+func (e Exposure) Suspects() []Segment { return append(slices.Clone(e.Segments), e.Request) }
+
+// Survived returns what the execution clears once its upstream has survived it.
+func (e Exposure) Survived() []Segment {
+	switch e.Proof {
+	case ProvesRequest:
+		return []Segment{e.Request}
+	case ProvesSegments:
+		return e.Suspects()
+	default:
+		return nil
+	}
+}
--- a/lib/hwquarantine/guard.go
+++ b/lib/hwquarantine/guard.go
@@ -192,6 +192,3 @@
 	h := t.histories[fingerprint]
 	return h != nil && len(h.crashes) > 0
 }
-
-// IsEmpty reports whether nothing is known of any request.
-func (t *CrashTracker) IsEmpty() bool { return len(t.histories) == 0 }
--- a/lib/hwquarantine/segment.go
+++ b/lib/hwquarantine/segment.go
@@ -6,11 +6,27 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// Segment identifies a segment of a prompt by a hash of the model and of the segment's content.
+// Segment identifies what may crash an upstream: a segment of prompts (PromptSegment) or a whole request (RequestIdentity).
 type Segment uint64
 
+// RequestIdentity returns the identity of a whole request, which is the same for each repetition.
+func RequestIdentity(account, path string, bodyHash uint64) Segment {
+	return Segment(xxhash.Sum64String(account+"\x00"+path+"\x00"+strconv.FormatUint(bodyHash, 16))) | requestBit
+}
+
+// PromptSegment returns the identity of a segment of prompts from a hash of its model and content.
+func PromptSegment(hash uint64) Segment { return Segment(hash) &^ requestBit }
+
+// requestBit is set in the identities of whole requests.
+const requestBit Segment = 1 << 63
+
+// IsRequest reports whether the identity is that of a whole request.
+func (s Segment) IsRequest() bool { return s&requestBit != 0 }
+
 // String returns the form in which logs show a segment.
 func (s Segment) String() string { return strconv.FormatUint(uint64(s), 16) }
 
--- a/lib/hwquarantine/segment_report.go
+++ b/lib/hwquarantine/segment_report.go
@@ -62,7 +62,7 @@
 		}
 	}
 	slices.SortFunc(due, func(a, b dueHistory) int {
-		return cmp.Or(-cmp.Compare(a.unsent, b.unsent), a.sentAt.Compare(b.sentAt), cmp.Compare(a.segment, b.segment))
+		return cmp.Or(-cmp.Compare(a.unsent, b.unsent), -cmp.Compare(len(a.crashes), len(b.crashes)), a.sentAt.Compare(b.sentAt), cmp.Compare(a.segment, b.segment))
 	})
 	var reports []SegmentReport
 	for _, d := range due {
