Tasks may begin while a stopping router waits for them

The outcome of a keyed request could be lost there unnoticed.

Change: the group counts under a lock, so starting and waiting may overlap; once closed, it starts nothing and says so, and the lost outcome is logged. Shutdown waits for the requests in progress, whose connections are closed by then, before it closes the group.

--- /dev/null
+++ b/lib/hwrouter/group_test.go
@@ -0,0 +1,31 @@
+package hwrouter
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// A request recorded its outcome in a task that began while the stopping router already waited for all of them: a data race, and the outcome was lost.
+func TestTasksMayBeginWhileTheGroupIsWaitedFor(t *testing.T) {
+	for range 200 {
+		group := newTaskGroup(context.Background())
+		var started, ran atomic.Int32
+		var callers sync.WaitGroup
+		for range 4 {
+			callers.Go(func() {
+				if group.start(func(context.Context) { ran.Add(1) }) {
+					started.Add(1)
+				}
+			})
+		}
+		group.wait()
+		callers.Wait()
+		group.close()
+		assert.Equal(t, started.Load(), ran.Load(), "every task that has begun ends before close returns")
+		assert.False(t, group.start(func(context.Context) { ran.Add(1) }), "the caller learns that nothing runs")
+	}
+}
--- a/lib/hwrouter/once.go
+++ b/lib/hwrouter/once.go
@@ -410,7 +410,7 @@
 	if len(cached.body) > maxCachedResponseBytes {
 		cached = cachedResponse{}
 	}
-	k.router.background.start(func(ctx context.Context) {
+	started := k.router.background.start(func(ctx context.Context) {
 		for n := range concludeMaxAttempts {
 			if n > 0 {
 				hwtask.Sleep(ctx, intendRetryDelay)
@@ -421,6 +421,9 @@
 		}
 		k.router.logger.Emit(hwevent.OutcomeNotRecorded, hwevent.With("outcome", outcome.String()))
 	})
+	if !started {
+		k.router.logger.Emit(hwevent.OutcomeNotRecorded, hwevent.With("outcome", outcome.String()))
+	}
 }
 
 func (k *keyedRequest) sendOutcome(ctx context.Context, outcome hwonce.Outcome, status int, cached cachedResponse) bool {
--- a/lib/hwrouter/router.go
+++ b/lib/hwrouter/router.go
@@ -83,8 +83,9 @@
 	objectiveMeters objectiveMeters
 	usage           *usageTracker
 	recentRequests  *recentRequests
-	// background runs short tasks that no request waits for.
+	// background runs short tasks that no request waits for, and requests counts the requests in progress, which may start some.
 	background *taskGroup
+	requests   *activity
 
 	// tasksLock guards tasks, the result channels of the goroutines that the router owns. shutdown waits for all of them.
 	tasksLock         sync.Mutex
@@ -122,6 +123,7 @@
 			partitions: map[int]*ownedPartition{},
 		},
 		background: newTaskGroup(runContext),
+		requests:   newActivity(),
 		pacer: hwslot.NewPacer(hwslot.PacerSettings{
 			BudgetBytesPerSecond: controlTrafficBudget,
 			MinInterval:          settings.Timing.ReportInterval,
@@ -267,12 +269,14 @@
 		failures = append(failures, server.Close())
 	}
 	r.upstreams.Close()
+	// A request that has lost its connections still reports its outcome.
+	r.requests.close()
 	failures = append(failures, r.peers.Close())
 	r.tasksLock.Lock()
 	tasks := slices.Clone(r.tasks)
 	r.tasksLock.Unlock()
 	failures = append(failures, hwtask.Join(tasks...))
-	r.background.wait()
+	r.background.close()
 	r.logger.Emit(hwevent.RouterStopped, hwevent.With("instance", r.settings.Instance))
 	return trace.NewAggregate(failures...)
 }
--- a/lib/hwrouter/serve.go
+++ b/lib/hwrouter/serve.go
@@ -63,6 +63,11 @@
 
 // Serve handles a call: it waits for a slot, runs the call at an upstream and relays the response, with retries where allowed.
 func (r *Router) Serve(ctx context.Context, call *hwintake.Call, writer http.ResponseWriter) {
+	if !r.requests.begin() {
+		hwintake.WriteError(writer, hwerror.NewRejection(hwerror.KindShuttingDown, hwevent.RequestRefused.Number, "the instance stops"))
+		return
+	}
+	defer r.requests.end()
 	r.metrics.requests.Add(1)
 	d := &delivery{
 		router:      r,
