--- a/lib/hwfollow/shared.go
+++ b/lib/hwfollow/shared.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +17,8 @@
 type PeerQuerier interface {
 	// IsReader reports whether this router reads the store on behalf of the others.
 	IsReader(now time.Time) bool
+	// PeerCount returns how many other routers were heard lately.
+	PeerCount(now time.Time) int
 	// QueryPeers returns a snapshot that the query accepts. It contains the list or the encoded table only if the query wants it and doesn't know it.
 	QueryPeers(ctx context.Context, query Query) (Snapshot, error)
 }
@@ -65,6 +68,36 @@
 	// list is the last list from a peer. Only Upstreams uses list and listDigest; it is never called concurrently.
 	list       []hwplace.Upstream
 	listDigest uint64
+	// tableDeferral is used by Table only, and listDeferral by Upstreams only.
+	tableDeferral deferral
+	listDeferral  deferral
+}
+
+const (
+	// deferTime is how long a router without a snapshot leaves the store to a reader that has none either.
+	deferTime = 500 * time.Millisecond
+	// minOwnReadInterval is the mean time between two reads of such a router from then on, and ownReadIntervalPerPeer makes all of them together read the store no more than a hundred times a second, a twentieth of what the platform allows.
+	minOwnReadInterval     = 300 * time.Millisecond
+	ownReadIntervalPerPeer = 10 * time.Millisecond
+)
+
+// deferral decides when a router that has no snapshot yet reads the store itself, although another router is the reader: the reader may be the only one that the store turns away. The zero value is ready for use.
+type deferral struct {
+	nextRead time.Time
+}
+
+// mayRead reports whether the store may be read now, given the number of peers and a random number from 0 to 1.
+func (d *deferral) mayRead(now time.Time, peers int, random float64) bool {
+	interval := max(minOwnReadInterval, time.Duration(peers)*ownReadIntervalPerPeer)
+	jittered := time.Duration((0.5 + random) * float64(interval))
+	if d.nextRead.IsZero() {
+		d.nextRead = now.Add(deferTime + jittered)
+	}
+	if now.Before(d.nextRead) {
+		return false
+	}
+	d.nextRead = now.Add(jittered)
+	return true
 }
 
 // NewSharedSource returns a source that reads the store if this router is the reader, or if no peer has a snapshot younger than maxAge.
@@ -77,7 +110,7 @@
 	}
 }
 
-// Table returns a peer's confirmation of the known revision or a peer's newer table, and otherwise reads the store. If neither this router nor its peers have a table, it returns NoSnapshotError and leaves the store to the reader, so that a fleet that starts before its configuration exists does not query the store all at once.
+// Table returns a peer's confirmation of the known revision or a peer's newer table, and otherwise reads the store. If neither this router nor its peers have a table, it leaves the store to the reader for a time and returns NoSnapshotError, so that a fleet that starts before its configuration exists does not query the store all at once.
 func (s *SharedSource) Table(ctx context.Context, known int64) (TableResult, error) {
 	if !s.peers.IsReader(s.now()) {
 		snapshot, err := s.peers.QueryPeers(ctx, Query{
@@ -87,7 +120,7 @@
 		})
 		var noSnapshot *NoSnapshotError
 		switch {
-		case errors.As(err, &noSnapshot) && known == 0:
+		case errors.As(err, &noSnapshot) && known == 0 && !s.tableDeferral.mayRead(s.now(), s.peers.PeerCount(s.now()), rand.Float64()):
 			return TableResult{}, err
 		case err != nil || snapshot.Revision < known:
 			// Only the store can have a newer table than this router.
@@ -114,7 +147,7 @@
 // Ping pings the store, never a peer.
 func (s *SharedSource) Ping(ctx context.Context) error { return s.store.Ping(ctx) }
 
-// Upstreams returns a peer's list, and otherwise reads the store. If neither this router nor its peers have a list, it returns NoSnapshotError, as Table does.
+// Upstreams returns a peer's list, and otherwise reads the store. If neither this router nor its peers have a list, it defers to the reader, as Table does.
 func (s *SharedSource) Upstreams(ctx context.Context) (ListResult, error) {
 	if !s.peers.IsReader(s.now()) {
 		snapshot, err := s.peers.QueryPeers(ctx, Query{
@@ -123,7 +156,7 @@
 			MaxAge:          s.maxAge,
 		})
 		var noSnapshot *NoSnapshotError
-		if errors.As(err, &noSnapshot) && s.list == nil {
+		if errors.As(err, &noSnapshot) && s.list == nil && !s.listDeferral.mayRead(s.now(), s.peers.PeerCount(s.now()), rand.Float64()) {
 			return ListResult{}, err
 		}
 		if err == nil {
--- a/lib/hwfollow/shared_test.go
+++ b/lib/hwfollow/shared_test.go
@@ -16,6 +16,7 @@
 	isReader bool
 	snapshot hwfollow.Snapshot
 	err      error
+	peers    int
 }
 
 func (f *fakePeers) IsReader(time.Time) bool { return f.isReader }
@@ -31,6 +32,8 @@
 	return snapshot, f.err
 }
 
+func (f *fakePeers) PeerCount(time.Time) int { return f.peers }
+
 func newSharedSource(store *fakeSource, peers *fakePeers) *hwfollow.SharedSource {
 	return hwfollow.NewSharedSource(store, peers, time.Second, func() time.Time { return start })
 }
@@ -147,3 +150,33 @@
 	require.NoError(t, err)
 	assert.EqualValues(t, 1, store.tableCalls.Load())
 }
+
+// At the first start, the store turned one router away, the one that the others had chosen as their reader. They waited for its snapshot for ever, although they reached the store themselves.
+func TestAReaderWithoutASnapshotIsNotWaitedForForEver(t *testing.T) {
+	for _, peers := range []int{3, 359} {
+		store := &fakeSource{revision: 8}
+		now := start
+		s := hwfollow.NewSharedSource(store, &fakePeers{
+			err:   &hwfollow.NoSnapshotError{},
+			peers: peers,
+		}, time.Second, func() time.Time { return now })
+		_, err := s.Table(context.Background(), 0)
+		var noSnapshot *hwfollow.NoSnapshotError
+		require.ErrorAs(t, err, &noSnapshot, "the reader may just be slower")
+		reads := 0
+		for ; now.Before(start.Add(time.Minute)); now = now.Add(150 * time.Millisecond) {
+			if _, err := s.Table(context.Background(), 0); err == nil {
+				reads++
+			}
+			if now.After(start.Add(7 * time.Second)) {
+				require.NotZero(t, reads, "it reads the store itself")
+			}
+		}
+		assert.LessOrEqual(t, reads*(peers+1), 60*110+60*4*4, "all routers together stay within a hundred reads a second")
+		_, err = s.Upstreams(context.Background())
+		require.ErrorAs(t, err, &noSnapshot)
+		now = now.Add(7 * time.Second)
+		_, err = s.Upstreams(context.Background())
+		require.NoError(t, err, "the same for the list")
+	}
+}
