A request that was not sent is no crash suspect on the OpenAI edge

Its first engine had crashed under another chat with the same message and refused the connection. The chat had not been sent, yet it counted as a possible cause of that crash and was not sent to the next engine.

Change: only an attempt that may have reached its upstream makes a suspect. A quarantined chat is still refused.

--- a/lib/hwrouter/segments.go
+++ b/lib/hwrouter/segments.go
@@ -9,6 +9,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
 	"github.com/hickorywick/hickorywick/lib/hwquarantine"
+	"github.com/hickorywick/hickorywick/lib/hwupstream"
 )
 
 // segmentSettings are the limits of the quarantine of segments; docs/design/quarantine.md gives the reasons.
@@ -92,13 +93,13 @@
 	}
 }
 
-// mayHaveCrashedUpstream reports whether the request must not be sent again: it may have crashed its upstream, or one of its segments is quarantined.
-func (d *delivery) mayHaveCrashedUpstream() bool {
+// mayCrashUpstream reports whether the request must not be sent again: it may have crashed its upstream, or one of its segments is quarantined. A request that was not sent has crashed nothing, whatever has happened to that upstream before.
+func (d *delivery) mayCrashUpstream(failure *hwupstream.Error) bool {
 	q := d.router.quarantine
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	_, quarantined := q.segments.Quarantined(d.call.Segments)
-	return quarantined || !d.answered && q.segments.Suspected(d.call.Segments)
+	return quarantined || failure.MaybeSent && !d.answered && q.segments.Suspected(d.call.Segments)
 }
 
 // segmentRows returns what this router knows of segments, for a peer.
--- a/lib/hwrouter/serve.go
+++ b/lib/hwrouter/serve.go
@@ -200,7 +200,7 @@
 		Resumable:          d.call.Pool.ResumesStreams && d.lastEventID != "",
 		ClientDisconnected: ctx.Err() != nil || d.callerGone,
 	})
-	if d.router.quarantine.check(time.Now(), d.fingerprint) != nil || d.mayHaveCrashedUpstream() {
+	if d.router.quarantine.check(time.Now(), d.fingerprint) != nil || d.mayCrashUpstream(failure) {
 		return false
 	}
 	if next == hwretry.Stop || !d.pool.withdrawRetry(time.Now()) {
