Chats clear their messages once their engine has outlived the answer

The same fault as in the platform's data path, on the OpenAI edge: the second event of a stream cleared the messages of its chat of all crashes and left it out of the suspects of the one that followed, and the end of an answer cleared it too early.

The edge asks an engine once after answers whose survival would change what is known; the status of a router counts them.

--- a/cmd/hickorywick-standin/internal/hwscript/states.go
+++ b/cmd/hickorywick-standin/internal/hwscript/states.go
@@ -11,7 +11,7 @@
 	"github.com/hickorywick/hickorywick/cmd/hickorywick-standin/internal/hwworld"
 )
 
-// untilCommand waits for a state: version N [ROUTER], running N, streaming N, executions NAME N, members ROUTER N, ready ROUTER, logged NAME, usage ACCOUNT UNITS, replayed ROUTER KEY BODY, leased ROUTER yes|no, served ENGINE N, idle ENGINE, read-held ENGINE, can-order ROUTER KEY, at-most NAME N, engines-down-at-most N, no-new-work ENGINE, version-somewhere N.
+// untilCommand waits for a state: version N [ROUTER], running N, streaming N, executions NAME N, members ROUTER N, ready ROUTER, logged NAME, usage ACCOUNT UNITS, replayed ROUTER KEY BODY, leased ROUTER yes|no, served ENGINE N, idle ENGINE, read-held ENGINE, can-order ROUTER KEY, at-most NAME N, engines-down-at-most N, no-new-work ENGINE, version-somewhere N, settled.
 func untilCommand(s *Scenario, a Arguments) error {
 	return WaitUntil(strings.Join(a.Positional, " "), func() bool {
 		reached, err := s.stateReached(a)
@@ -100,6 +100,8 @@
 		return s.World.Engines[number-1].StartedRequests() >= int64(minimum), err
 	case "no-new-work":
 		return s.servesNoNewRequests(a.Arg(1))
+	case "settled":
+		return s.allRoutersMatch("all", func(r *hwworld.Router) bool { return r.Router.Status(time.Now()).UnsettledAnswers == 0 }), nil
 	case "version-somewhere":
 		for _, r := range s.World.AllRouters() {
 			if number, _ := r.Router.DocumentVersion(); strconv.FormatUint(number, 10) == a.Arg(1) && r.Router.Ready() {
--- a/lib/hwquarantine/exposure.go
+++ b/lib/hwquarantine/exposure.go
@@ -145,3 +145,6 @@
 		return nil
 	}
 }
+
+// Count returns the number of exposures in memory.
+func (x *Exposures[L]) Count() int { return x.count }
--- a/lib/hwrouter/attempt.go
+++ b/lib/hwrouter/attempt.go
@@ -22,7 +22,6 @@
 	d.beginTrial(startedAt)
 	response, err := d.send(ctx, id, upstream)
 	d.pause = 0
-	d.relayedEvents = 0
 	if err == nil {
 		if response.Status == http.StatusServiceUnavailable {
 			d.pause, _ = hwlimit.ParseRetryAfter(response.Header)
@@ -74,6 +73,7 @@
 	})
 	d.chargedCost = d.cost
 	if failure == nil {
+		d.recordExposure(now, upstream)
 		return nil
 	}
 	d.logFailure(failure)
--- a/lib/hwrouter/operators.go
+++ b/lib/hwrouter/operators.go
@@ -23,6 +23,8 @@
 	Pools           []hwdispatch.Status `json:"pools"`
 	Brokers         map[string]string   `json:"brokers"`
 	FairnessGaps    map[string]float64  `json:"gaps"`
+	// UnsettledAnswers counts the answers that their upstreams are not known to have outlived yet.
+	UnsettledAnswers int `json:"unsettled-answers"`
 }
 
 // MemberStatus is one instance in the membership view of the reporting instance.
@@ -37,14 +39,15 @@
 func (r *Router) Status(time.Time) Status {
 	number, digest := r.DocumentVersion()
 	status := Status{
-		Instance:        r.settings.Instance,
-		Zone:            r.settings.Zone,
-		Boot:            r.settings.Boot,
-		Ready:           r.Ready(),
-		DocumentVersion: number,
-		DocumentDigest:  digest,
-		Brokers:         map[string]string{},
-		FairnessGaps:    map[string]float64{},
+		Instance:         r.settings.Instance,
+		Zone:             r.settings.Zone,
+		Boot:             r.settings.Boot,
+		Ready:            r.Ready(),
+		DocumentVersion:  number,
+		DocumentDigest:   digest,
+		Brokers:          map[string]string{},
+		FairnessGaps:     map[string]float64{},
+		UnsettledAnswers: r.quarantine.unsettledAnswers(),
 	}
 	r.membersLock.Lock()
 	rows := r.table.All()
--- a/lib/hwrouter/quarantine.go
+++ b/lib/hwrouter/quarantine.go
@@ -28,6 +28,9 @@
 	lock     sync.Mutex
 	tracker  *hwquarantine.CrashTracker
 	segments *hwquarantine.SegmentTracker
+	// exposures are the executions of which it is not known yet whether their upstreams survived them, and checks the upstreams that are to be checked for it.
+	exposures *hwquarantine.Exposures[string]
+	checks    map[string]bool
 }
 
 func newQuarantine() *quarantine {
@@ -37,7 +40,9 @@
 			MinUpstreams:    quarantineMinUpstreams,
 			MaxFingerprints: maxCrashFingerprints,
 		}),
-		segments: hwquarantine.NewSegmentTracker(segmentSettings),
+		segments:  hwquarantine.NewSegmentTracker(segmentSettings),
+		exposures: hwquarantine.NewExposures[string](exposureSettings),
+		checks:    map[string]bool{},
 	}
 }
 
--- a/lib/hwrouter/relay.go
+++ b/lib/hwrouter/relay.go
@@ -107,9 +107,6 @@
 			}
 			d.pool.chargeProgress(time.Now(), id, d.cost-d.chargedCost)
 		}
-		if d.relayedEvents++; d.relayedEvents >= survivedEvents {
-			d.recordAnswered()
-		}
 		return d.writeEvent(d.lastEventID, event.Type, event.Data)
 	})
 }
--- a/lib/hwrouter/router.go
+++ b/lib/hwrouter/router.go
@@ -86,6 +86,8 @@
 	// background runs short tasks that no request waits for, and requests counts the requests in progress, which may start some.
 	background *taskGroup
 	requests   *activity
+	// survivalChecks runs the checks of upstreams after answers, which end with the router's context.
+	survivalChecks *taskGroup
 
 	// tasksLock guards tasks, the result channels of the goroutines that the router owns. shutdown waits for all of them.
 	tasksLock         sync.Mutex
@@ -122,8 +124,9 @@
 		ownedPartitions: ownedPartitions{
 			partitions: map[int]*ownedPartition{},
 		},
-		background: newTaskGroup(runContext),
-		requests:   newActivity(),
+		background:     newTaskGroup(runContext),
+		requests:       newActivity(),
+		survivalChecks: newTaskGroup(runContext),
 		pacer: hwslot.NewPacer(hwslot.PacerSettings{
 			BudgetBytesPerSecond: controlTrafficBudget,
 			MinInterval:          settings.Timing.ReportInterval,
@@ -276,6 +279,7 @@
 	tasks := slices.Clone(r.tasks)
 	r.tasksLock.Unlock()
 	failures = append(failures, hwtask.Join(tasks...))
+	r.survivalChecks.close()
 	r.background.close()
 	r.logger.Emit(hwevent.RouterStopped, hwevent.With("instance", r.settings.Instance))
 	return trace.NewAggregate(failures...)
--- a/lib/hwrouter/segments.go
+++ b/lib/hwrouter/segments.go
@@ -1,6 +1,9 @@
 package hwrouter
 
 import (
+	"context"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,6 +12,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
 	"github.com/hickorywick/hickorywick/lib/hwquarantine"
+	"github.com/hickorywick/hickorywick/lib/hwtask"
 	"github.com/hickorywick/hickorywick/lib/hwupstream"
 )
 
@@ -26,9 +30,17 @@
 	AnsweredSegments:   1 << 16,
 }
 
+// exposureSettings are the limits of the executions of which it is not known yet whether their upstreams survived them.
+var exposureSettings = hwquarantine.ExposureSettings{
+	SettleTime:   time.Second,
+	RestartTime:  2 * time.Second,
+	TTL:          5 * time.Second,
+	MaxExposures: 4096,
+}
+
 const (
-	// survivedEvents is how many events show that an upstream has survived the beginning of an answer.
-	survivedEvents = 2
+	// survivalCheckMargin is how long after the settle time an upstream is asked whether it lives.
+	survivalCheckMargin = 100 * time.Millisecond
 	// segmentReportsPerGossip limits the reports in one gossip message, some 20 bytes each.
 	segmentReportsPerGossip = 100
 )
@@ -66,30 +78,91 @@
 	d.router.logger.Emit(hwevent.SegmentTried, hwevent.With("request", d.call.ID))
 }
 
-// recordSegmentCrash records that an upstream crashed under the request. An answer that had begun is no reason for a crash.
+// recordSegmentCrash records that an upstream crashed under the request. Those that have just ended there are suspects too.
 func (d *delivery) recordSegmentCrash(now time.Time, upstream string) {
-	if d.answered {
+	q := d.router.quarantine
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	d.router.recordCrashOf(now, upstream, d.call.Segments)
+}
+
+// recordCrashOf records a crash against the given segments and those of the executions that the upstream has not outlived. The quarantine's lock must be held.
+func (r *Router) recordCrashOf(now time.Time, upstream string, segments []hwquarantine.Segment) {
+	q := r.quarantine
+	suspects := slices.Clone(segments)
+	for _, x := range q.exposures.Take(now, upstream) {
+		suspects = append(suspects, x.Segments...)
+	}
+	r.logSegmentChanges(q.segments.RecordCrash(now, now, hwquarantine.UpstreamHash(xxhash.Sum64String(upstream)), suspects))
+}
+
+// recordExposure records the end of an answer. With success, it clears the segments of the request once the upstream has outlived it.
+func (d *delivery) recordExposure(now time.Time, upstream string) {
+	r := d.router
+	if len(d.call.Segments) == 0 || !r.quarantine.addExposure(now, upstream, d.exposure(now)) {
 		return
 	}
-	q := d.router.quarantine
+	// The group may be full, so no lock is held here.
+	r.survivalChecks.start(func(ctx context.Context) {
+		hwtask.Sleep(ctx, exposureSettings.SettleTime+survivalCheckMargin)
+		r.checkSurvival(ctx, upstream)
+	})
+}
+
+func (d *delivery) exposure(now time.Time) hwquarantine.Exposure {
+	proof := hwquarantine.ProvesSegments
+	if d.responseStatus >= http.StatusMultipleChoices {
+		proof = hwquarantine.ProvesNothing
+	}
+	return hwquarantine.Exposure{
+		RequestID: d.call.ID,
+		Segments:  d.call.Segments,
+		EndedAt:   now,
+		Proof:     proof,
+	}
+}
+
+// addExposure adds an exposure and reports whether the upstream is now to be checked, because its survival would change what is known and no check is under way.
+func (q *quarantine) addExposure(now time.Time, upstream string, exposure hwquarantine.Exposure) bool {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	d.router.logSegmentChanges(q.segments.RecordCrash(now, now, hwquarantine.UpstreamHash(xxhash.Sum64String(upstream)), d.call.Segments))
+	if q.segments.AllAnswered(exposure.Segments) && !q.segments.HasCrashes() {
+		return false
+	}
+	q.exposures.Add(now, upstream, exposure)
+	if q.checks[upstream] {
+		return false
+	}
+	q.checks[upstream] = true
+	return true
 }
 
-// recordAnswered records that an upstream has survived the beginning of the answer.
-func (d *delivery) recordAnswered() {
-	if d.answered || len(d.call.Segments) == 0 {
+// checkSurvival finds out whether an upstream has outlived the answers that have ended there.
+func (r *Router) checkSurvival(ctx context.Context, upstream string) {
+	q := r.quarantine
+	// The answers that end from now on need another check.
+	q.lock.Lock()
+	delete(q.checks, upstream)
+	q.lock.Unlock()
+	if ctx.Err() != nil {
 		return
 	}
-	d.answered = true
-	q := d.router.quarantine
+	checkedAt := time.Now()
+	crashed := r.upstreamCrashed(ctx, upstream)
 	q.lock.Lock()
-	changes := q.segments.RecordAnswer(time.Now(), d.call.Segments)
+	if crashed {
+		r.recordCrashOf(time.Now(), upstream, nil)
+	}
+	var changes []hwquarantine.SegmentChange
+	for _, x := range q.exposures.Survived(checkedAt, upstream, checkedAt) {
+		if x.Proof == hwquarantine.ProvesSegments {
+			changes = append(changes, q.segments.RecordAnswer(checkedAt, x.Segments)...)
+		}
+	}
 	q.lock.Unlock()
-	if len(changes) > 0 {
-		d.router.logSegmentChanges(changes)
-		d.router.gossipToAll(d.router.background)
+	r.logSegmentChanges(changes)
+	if crashed || len(changes) > 0 {
+		r.gossipToAll(r.background)
 	}
 }
 
@@ -99,7 +172,7 @@
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	_, quarantined := q.segments.Quarantined(d.call.Segments)
-	return quarantined || failure.MaybeSent && !d.answered && q.segments.Suspected(d.call.Segments)
+	return quarantined || failure.MaybeSent && q.segments.Suspected(d.call.Segments)
 }
 
 // segmentRows returns what this router knows of segments, for a peer.
@@ -147,3 +220,9 @@
 		r.logger.Emit(event, hwevent.With("segment", c.Segment.String()), hwevent.With("crashes", c.Crashes))
 	}
 }
+
+func (q *quarantine) unsettledAnswers() int {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	return q.exposures.Count()
+}
--- a/lib/hwrouter/serve.go
+++ b/lib/hwrouter/serve.go
@@ -24,10 +24,8 @@
 	writer http.ResponseWriter
 	// fingerprint identifies the request in crash reports.
 	fingerprint hwquarantine.Fingerprint
-	// trial reports that the request is sent although a segment of its prompt is quarantined. answered reports that an upstream has survived the beginning of the answer; relayedEvents counts the events of the present attempt.
-	trial         bool
-	answered      bool
-	relayedEvents int
+	// trial reports that the request is sent although a segment of its prompt is quarantined.
+	trial bool
 	// receivedAt is when the request arrived, firstByteAt when the response header was written.
 	receivedAt  time.Time
 	firstByteAt time.Time
@@ -103,7 +101,6 @@
 		return
 	}
 	r.clearCrashReport(d.fingerprint)
-	d.recordAnswered()
 	r.metrics.outcomes.Add(string(hwerror.ExecutionRan), 1)
 }
 
