--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -118,7 +118,7 @@
 	survivalChecks map[hwplace.Lifetime]bool
 	// restarts holds, by the lifetime that has ended, when the list showed the next one at its address.
 	restarts map[hwplace.Lifetime]time.Time
-	// attempts holds the attempts in flight whose prompts have segments, with the function that cancels each.
+	// attempts holds the attempts in flight, with the function that cancels each.
 	attempts map[*exchange]func()
 	// peersHeard is when each peer last sent an update.
 	peersHeard map[string]time.Time
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -125,52 +125,6 @@
 	return r.retryBudget(r.clock.Now(), e.pool).TryWithdraw(r.clock.Now())
 }
 
-// failExchange ends a request that has no response and may not be retried.
-func (e *exchange) failExchange(result attemptResult) {
-	switch {
-	case e.headerSent:
-		e.abortResponse(result.cause)
-	case result.fallback != nil:
-		e.writeBuffered(result.fallback)
-	case e.executions == 0 && (result.outcome == notExecuted || result.unsent):
-		refusal := newRefusal(hwerror.KindNoUpstream, "no upstream took the request").WithRetryAfter(noUpstreamRetryAfter)
-		refusal.Cause = result.cause
-		e.writeRefusal(refusal)
-	default:
-		e.writeRefusal(hwerror.NewFailure(hwerror.KindUpstreamFailed, hwerror.ExecutionUnknown, hwevent.RequestFailed.Number, "the upstream failed", result.cause))
-	}
-}
-
-// ErrStopping is the cause with which a stopping server cancels the requests that are still in flight. Those that wait for their answer are told so.
-var ErrStopping = errors.New("the instance stops")
-
-// endOnContext ends a request whose deadline has passed, whose client has disconnected or whose instance stops.
-func (e *exchange) endOnContext(ctx context.Context, result attemptResult) {
-	stopping := errors.Is(context.Cause(ctx), ErrStopping)
-	switch {
-	case !stopping && !errors.Is(ctx.Err(), context.DeadlineExceeded):
-		e.status = hwerror.StatusClientClosedRequest
-		e.logEnd(hwerror.NewFailure(hwerror.KindCallerGone, hwerror.ExecutionUnknown, hwevent.CallerGone.Number, "the caller closed its connection", result.cause))
-		panic(http.ErrAbortHandler)
-	case e.headerSent:
-		e.abortResponse(result.cause)
-	case stopping && e.executions == 0:
-		e.writeRefusal(newRefusal(hwerror.KindShuttingDown, "the instance stops").WithRetryAfter(drainingRetryAfter))
-	case stopping:
-		e.writeRefusal(hwerror.NewFailure(hwerror.KindUpstreamFailed, hwerror.ExecutionUnknown, hwevent.RequestFailed.Number, "the instance stops before the upstream has answered", result.cause))
-	case e.executions == 0:
-		e.writeRefusal(newRefusal(hwerror.KindDeadlineCannotBeMet, "the time was over before an upstream took the request"))
-	default:
-		e.writeRefusal(hwerror.NewFailure(hwerror.KindUpstreamTimeout, hwerror.ExecutionUnknown, hwevent.RequestFailed.Number, "the time was over before the upstream answered", result.cause))
-	}
-}
-
-// abortResponse ends a response that has begun and can't be completed. The client must see that the response is truncated, so its connection is closed without the end of the body.
-func (e *exchange) abortResponse(cause error) {
-	e.logEnd(hwerror.NewFailure(hwerror.KindUpstreamFailed, hwerror.ExecutionUnknown, hwevent.RequestFailed.Number, "the response was aborted before its end", cause))
-	panic(http.ErrAbortHandler)
-}
-
 // chooseUpstream selects an upstream and records the start of the attempt. Until an upstream may have executed the request, it also decides on admission.
 func (e *exchange) chooseUpstream(ctx context.Context) *hwerror.RequestError {
 	r := e.router
--- a/lib/hwforward/segments.go
+++ b/lib/hwforward/segments.go
@@ -19,15 +19,10 @@
 	trialPeerTimeout = 2 * time.Second
 )
 
-// suspects returns all that may crash an upstream: the segments of the prompt and the whole request.
-func (e *exchange) suspects() []hwquarantine.Segment {
-	return append(slices.Clone(e.segments), e.identity)
-}
-
 // decideSegments refuses the request if it, or one of its segments, is quarantined and no trial is due. The lock must be held.
 func (e *exchange) decideSegments(now time.Time) *hwerror.RequestError {
 	r := e.router
-	verdict := r.segments.Decide(now, e.suspects(), func(segment hwquarantine.Segment, turn int) bool {
+	verdict := r.segments.Decide(now, e.suspects, func(segment hwquarantine.Segment, turn int) bool {
 		return hwquarantine.TrialOwner(r.liveRouters(now), segment, turn) == r.settings.Instance
 	})
 	e.trial = verdict.Trial
@@ -45,7 +40,7 @@
 
 // refuseQuarantined decides again, before each attempt, about a request whose segments may have been quarantined since it was admitted. The lock must be held.
 func (e *exchange) refuseQuarantined(now time.Time) *hwerror.RequestError {
-	if _, quarantined := e.router.segments.Quarantined(e.suspects()); !quarantined {
+	if _, quarantined := e.router.segments.Quarantined(e.suspects); !quarantined {
 		return nil
 	}
 	if e.executions > 0 {
@@ -60,7 +55,7 @@
 
 // beginTrial records that the request is sent as a trial. The lock must be held.
 func (r *Router) beginTrial(now time.Time, e *exchange) {
-	r.segments.BeginTrial(now, e.suspects())
+	r.segments.BeginTrial(now, e.suspects)
 	r.logger.Emit(hwevent.SegmentTried, hwevent.With("request-id", e.info.ID), hwevent.With("upstream", e.choice.Upstream.ID), hwevent.With("segments", hexList(e.segments[:min(len(e.segments), maxLoggedSegments)])))
 }
 
@@ -151,10 +146,10 @@
 		return
 	}
 	for e, cancel := range r.attempts {
-		if e.trial || e.begun && !r.segments.Convicted(e.suspects()) {
+		if e.trial || e.begun && !r.segments.Convicted(e.suspects) {
 			continue
 		}
-		if crashes, quarantined := r.segments.Quarantined(e.suspects()); quarantined && crashes >= cancelCrashes {
+		if crashes, quarantined := r.segments.Quarantined(e.suspects); quarantined && crashes >= cancelCrashes {
 			delete(r.attempts, e)
 			e.cancelled.Store(true)
 			cancel()
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -37,9 +38,10 @@
 	arrivedAt time.Time
 	// deadline is when the response must be complete.
 	deadline time.Time
-	// identity identifies the whole request, and segments are those of the prompt that other requests may share.
+	// identity identifies the whole request, segments are those of the prompt that other requests may share, and suspects are all of them.
 	identity hwquarantine.Segment
 	segments []hwquarantine.Segment
+	suspects []hwquarantine.Segment
 	// trial is set if the request is sent although one of its segments is quarantined.
 	trial bool
 	// sentAt is when the present attempt began, and proof what it shows if the upstream survives it.
@@ -209,6 +211,7 @@
 	for _, hash := range e.prompt.SharedContent() {
 		e.segments = append(e.segments, hwquarantine.PromptSegment(hash))
 	}
+	e.suspects = append(slices.Clone(e.segments), e.identity)
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	e.pool = route.PickPool(r.random.Float64())
--- a/lib/hwfront/server.go
+++ b/lib/hwfront/server.go
@@ -221,7 +221,7 @@
 	s.logger.Emit(hwevent.RouterStopping, hwevent.With("instance", s.settings.Instance), hwevent.With("in-flight", s.router.InFlight()))
 	ctx, cancel := context.WithTimeout(ctx, s.settings.ShutdownTimeout)
 	defer cancel()
-	defer time.AfterFunc(s.settings.ShutdownTimeout-finalAnswerTime, func() { s.endRequests(hwforward.ErrStopping) }).Stop()
+	defer time.AfterFunc(s.settings.ShutdownTimeout-finalAnswerTime, func() { s.endRequests(&hwforward.StoppingError{}) }).Stop()
 	for ctx.Err() == nil && (s.now().Sub(stopStart) < s.settings.ShutdownDelay || s.router.InFlight() > 0) {
 		hwtask.Sleep(ctx, drainPollInterval)
 	}
--- a/lib/hwquarantine/guard.go
+++ b/lib/hwquarantine/guard.go
@@ -1,6 +1,8 @@
-// Package hwquarantine stops a request that crashes upstreams (a poison pill) from crashing more of them.
+// Package hwquarantine stops requests that crash upstreams (poison pills) from crashing more of them.
 //
-// Requests are identified by a fingerprint. A crash report states that an upstream crashed while the request was in flight there. Reports of crashes at two different upstreams quarantine the fingerprint for a limited time. A request that was only in flight by coincidence is cleared when another upstream completes it.
+// SegmentTracker finds the whole requests, and the segments of prompts, at which upstreams crash; Exposures keeps what an upstream has executed until it is known to have outlived it. CrashTracker is the simpler policy of the OpenAI edge for whole requests.
+//
+// There, requests are identified by a fingerprint. A crash report states that an upstream crashed while the request was in flight there. Reports of crashes at two different upstreams quarantine the fingerprint for a limited time. A request that was only in flight by coincidence is cleared when another upstream completes it.
 package hwquarantine
 
 import (
