The end of an answer does not wait for a check of its upstream

The check is left out now, and the next answer of that engine starts one.

Test: TestATaskThatMayBeLeftOutDoesNotWait.

--- a/lib/hwrouter/group.go
+++ b/lib/hwrouter/group.go
@@ -82,6 +82,21 @@
 	case <-g.ctx.Done():
 		return false
 	}
+	return g.run(work)
+}
+
+// tryStart is start for a task that may be left out: it returns false if the group is full.
+func (g *taskGroup) tryStart(work func(context.Context)) bool {
+	select {
+	case g.slots <- struct{}{}:
+		return g.run(work)
+	default:
+		return false
+	}
+}
+
+// run runs a task for which a slot was taken.
+func (g *taskGroup) run(work func(context.Context)) bool {
 	if !g.begin() {
 		<-g.slots
 		return false
--- a/lib/hwrouter/group_test.go
+++ b/lib/hwrouter/group_test.go
@@ -29,3 +29,15 @@
 		assert.False(t, group.start(func(context.Context) { ran.Add(1) }), "the caller learns that nothing runs")
 	}
 }
+
+// The end of an answer started a check of its upstream in a group of tasks that was full, and the caller waited for the end of its response until another check had ended.
+func TestATaskThatMayBeLeftOutDoesNotWait(t *testing.T) {
+	group := newTaskGroup(context.Background())
+	release := make(chan struct{})
+	for range maxConcurrentTasks {
+		assert.True(t, group.tryStart(func(context.Context) { <-release }))
+	}
+	assert.False(t, group.tryStart(func(context.Context) {}))
+	close(release)
+	group.close()
+}
--- a/lib/hwrouter/segments.go
+++ b/lib/hwrouter/segments.go
@@ -102,11 +102,21 @@
 	if len(d.call.Segments) == 0 || !r.quarantine.addExposure(now, upstream, d.exposure(now)) {
 		return
 	}
-	// The group may be full, so no lock is held here.
-	r.survivalChecks.start(func(ctx context.Context) {
+	started := r.survivalChecks.tryStart(func(ctx context.Context) {
 		hwtask.Sleep(ctx, exposureSettings.SettleTime+survivalCheckMargin)
 		r.checkSurvival(ctx, upstream)
 	})
+	if !started {
+		// The caller must not wait for a check; a later answer of this upstream starts one.
+		r.quarantine.endCheck(upstream)
+	}
+}
+
+// endCheck records that an upstream is not being checked. The answers that end from now on need another check.
+func (q *quarantine) endCheck(upstream string) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	delete(q.checks, upstream)
 }
 
 func (d *delivery) exposure(now time.Time) hwquarantine.Exposure {
@@ -140,10 +150,7 @@
 // checkSurvival finds out whether an upstream has outlived the answers that have ended there.
 func (r *Router) checkSurvival(ctx context.Context, upstream string) {
 	q := r.quarantine
-	// The answers that end from now on need another check.
-	q.lock.Lock()
-	delete(q.checks, upstream)
-	q.lock.Unlock()
+	q.endCheck(upstream)
 	if ctx.Err() != nil {
 		return
 	}
