--- a/lib/hwengine/fleet_test.go
+++ b/lib/hwengine/fleet_test.go
@@ -95,7 +95,7 @@
 			PrefixCacheRatio:          0.6,
 			AffinityDiscountRatio:     1,
 			EngineJitterMS:            20,
-		}, hwplace.NewNotices(), 560_000)
+		}, hwplace.NewNotices(), hwplace.NewEvacuations(), 560_000)
 		p.SetUpstreams(upstreams)
 		f.routers = append(f.routers, p)
 	}
--- a/lib/hwfleet/ask.go
+++ b/lib/hwfleet/ask.go
@@ -152,13 +152,16 @@
 	if query.WantTable {
 		snapshot.EncodedTable = encoded
 	}
-	if query.WantList && snapshot.ListDigest != query.KnownListDigest {
-		list, err := decodeList(encoded)
+	if query.WantList {
+		list, evacuated, err := decodeList(encoded)
 		if err != nil {
 			f.logger.Emit(hwevent.PeerRefused, hwevent.With("from", target.String()), hwevent.With("cause", err.Error()))
 			return hwfollow.Snapshot{}, false
 		}
-		snapshot.List = list
+		snapshot.Evacuated = evacuated
+		if snapshot.ListDigest != query.KnownListDigest {
+			snapshot.List = list
+		}
 	}
 	return snapshot, true
 }
@@ -223,7 +226,9 @@
 		var encoded []byte
 		switch {
 		case query.GetList() && snapshot.ListDigest != query.GetDigest():
-			encoded = f.encodeList(snapshot)
+			encoded = append(encodeEvacuated(snapshot.Evacuated), f.encodeList(snapshot)...)
+		case query.GetList():
+			encoded = encodeRevision(snapshot.Evacuated)
 		case query.GetTable() && snapshot.Revision != query.GetRevision():
 			encoded = snapshot.EncodedTable
 		}
@@ -237,7 +242,7 @@
 	})
 }
 
-// encodeList encodes a snapshot's list for other routers. The last result is cached, because all routers request the list after a change.
+// encodeList encodes a snapshot's list without the evacuated zones for other routers. The last result is cached, because all routers request the list after a change.
 func (f *Fleet) encodeList(snapshot hwfollow.Snapshot) []byte {
 	f.lock.Lock()
 	defer f.lock.Unlock()
@@ -275,11 +280,11 @@
 	bytes  []byte
 }
 
-// decodeList decodes a list from another router.
-func decodeList(bytes []byte) ([]hwplace.Upstream, error) {
+// decodeList decodes a list and the evacuated zones from another router.
+func decodeList(bytes []byte) ([]hwplace.Upstream, hwplace.EvacuatedZones, error) {
 	message := &hwpeerpb.UpstreamList{}
 	if err := proto.Unmarshal(bytes, message); err != nil {
-		return nil, trace.Wrap(err)
+		return nil, hwplace.EvacuatedZones{}, trace.Wrap(err)
 	}
 	list := make([]hwplace.Upstream, 0, len(message.GetUpstreams()))
 	for _, u := range message.GetUpstreams() {
@@ -294,7 +299,10 @@
 			ModelVersion: int(u.GetVersion()),
 		})
 	}
-	return list, nil
+	return list, hwplace.EvacuatedZones{
+		Revision: message.GetEvacuationRevision(),
+		Zones:    message.GetEvacuatedZones(),
+	}, nil
 }
 
 // ageMilliseconds returns an age in milliseconds, at most an hour. It rounds up, so that an age is never understated.
--- a/lib/hwfollow/follow.go
+++ b/lib/hwfollow/follow.go
@@ -32,9 +32,10 @@
 	Age      time.Duration
 }
 
-// ListResult is the newest list. A reconciled list comes from another router, which has already added the upstreams that are retained after an outage.
+// ListResult is the newest list, with the zones that were evacuated when it was read. A reconciled list comes from another router, which has already added the upstreams that are retained after an outage.
 type ListResult struct {
 	Upstreams  []hwplace.Upstream
+	Evacuated  hwplace.EvacuatedZones
 	Age        time.Duration
 	Reconciled bool
 }
@@ -45,7 +46,8 @@
 	SetTable(now time.Time, table *hwtable.Table) bool
 	// ConfirmTable records that the table was still the newest at the given time of the wall clock and of the boot clock.
 	ConfirmTable(at time.Time, boot time.Duration)
-	SetUpstreams(now time.Time, list []hwplace.Upstream)
+	// SetUpstreams sets the list and the evacuated zones together, because a list is of no use to a router that does not know which of its zones are evacuated.
+	SetUpstreams(now time.Time, list []hwplace.Upstream, evacuated hwplace.EvacuatedZones)
 	// SetCutOff sets whether this router fails to reach the source while most others reach it.
 	SetCutOff(cutOff bool)
 }
@@ -98,6 +100,7 @@
 	encodedTable     []byte
 	tableConfirmedAt time.Duration
 	list             []hwplace.Upstream
+	evacuated        hwplace.EvacuatedZones
 	listDigest       uint64
 	listConfirmedAt  time.Duration
 }
@@ -111,6 +114,8 @@
 	ListAge      time.Duration
 	ListDigest   uint64
 	List         []hwplace.Upstream
+	// Evacuated has no zones if the list was not wanted or is the known one.
+	Evacuated hwplace.EvacuatedZones
 }
 
 // Snapshot returns the newest table and list, and false until both have been polled.
@@ -126,6 +131,7 @@
 		ListAge:      boot - s.listConfirmedAt,
 		ListDigest:   s.listDigest,
 		List:         s.list,
+		Evacuated:    s.evacuated,
 	}, s.tableConfirmedAt > 0 && s.listConfirmedAt > 0
 }
 
@@ -241,11 +247,13 @@
 	} else {
 		list = p.reconciler.Reconcile(now, list)
 	}
-	p.sink.SetUpstreams(now, list)
+	evacuated := p.reconciler.ReconcileEvacuated(result.Evacuated)
+	p.sink.SetUpstreams(now, list, evacuated)
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	p.state.list = list
-	p.state.listDigest = ListDigest(list)
+	p.state.evacuated = evacuated
+	p.state.listDigest = ListDigest(list, evacuated.Zones...)
 	if p.reconciler.InGracePeriod(now) {
 		// The list may hold upstreams that left, so other routers must not take it from this one.
 		p.state.listConfirmedAt = oldestTime
--- a/lib/hwfollow/follow_test.go
+++ b/lib/hwfollow/follow_test.go
@@ -200,7 +200,7 @@
 	s.confirmed = boot
 }
 
-func (s *recordingSink) SetUpstreams(_ time.Time, list []hwplace.Upstream) {
+func (s *recordingSink) SetUpstreams(_ time.Time, list []hwplace.Upstream, _ hwplace.EvacuatedZones) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.upstreams = len(list)
--- a/lib/hwfollow/lapsing.go
+++ b/lib/hwfollow/lapsing.go
@@ -17,6 +17,8 @@
 	// failing reports that the last poll failed; recovered is when polls began to succeed again.
 	failing   bool
 	recovered time.Time
+	// evacuated is the newest set of evacuated zones.
+	evacuated hwplace.EvacuatedZones
 }
 
 // NewListReconciler returns a reconciler without upstreams. The grace period starts when the source recovers from an outage.
@@ -69,3 +71,11 @@
 		r.current[u.ID] = u
 	}
 }
+
+// ReconcileEvacuated returns the newest set of evacuated zones, which is the given one unless it was read before the last. It stays in effect while polls fail.
+func (r *ListReconciler) ReconcileEvacuated(evacuated hwplace.EvacuatedZones) hwplace.EvacuatedZones {
+	if evacuated.Revision >= r.evacuated.Revision {
+		r.evacuated = evacuated
+	}
+	return r.evacuated
+}
--- a/lib/hwfollow/shared.go
+++ b/lib/hwfollow/shared.go
@@ -65,9 +65,10 @@
 	peers  PeerQuerier
 	maxAge time.Duration
 	now    func() time.Time
-	// list is the last list from a peer. Only Upstreams uses list and listDigest; it is never called concurrently.
-	list       []hwplace.Upstream
-	listDigest uint64
+	// list is the last list from a peer, with the zones that were evacuated then. Only Upstreams uses list, evacuatedZones and listDigest; it is never called concurrently.
+	list           []hwplace.Upstream
+	evacuatedZones []string
+	listDigest     uint64
 	// tableDeferral is used by Table only, and listDeferral by Upstreams only.
 	tableDeferral deferral
 	listDeferral  deferral
@@ -162,10 +163,16 @@
 		if err == nil {
 			if snapshot.ListDigest != s.listDigest {
 				s.list = snapshot.List
+				s.evacuatedZones = snapshot.Evacuated.Zones
 				s.listDigest = snapshot.ListDigest
 			}
 			return ListResult{
-				Upstreams:  s.list,
+				Upstreams: s.list,
+				// The zones may be those of an earlier snapshot, because the digest covers them. Their revision must not be: a set that was read from the store in between would seem to be newer.
+				Evacuated: hwplace.EvacuatedZones{
+					Revision: snapshot.Evacuated.Revision,
+					Zones:    s.evacuatedZones,
+				},
 				Age:        snapshot.ListAge,
 				Reconciled: true,
 			}, nil
@@ -174,8 +181,11 @@
 	return s.store.Upstreams(ctx)
 }
 
-// ListDigest returns a hash of a list that does not depend on the order of its upstreams.
-func ListDigest(list []hwplace.Upstream) uint64 {
+// evacuatedPrefix distinguishes an evacuated zone in the digest from an upstream, whose ID is not empty.
+const evacuatedPrefix = "\x00evacuated\x00"
+
+// ListDigest returns a hash of a list and of the evacuated zones that does not depend on their order. It does not cover the revision as of which they were read, which changes whenever an upstream renews its entry.
+func ListDigest(list []hwplace.Upstream, evacuatedZones ...string) uint64 {
 	sum := uint64(len(list))
 	var b []byte
 	for _, u := range list {
@@ -190,5 +200,9 @@
 		}
 		sum += xxhash.Sum64(b)
 	}
+	for _, zone := range evacuatedZones {
+		b = append(append(b[:0], evacuatedPrefix...), zone...)
+		sum += xxhash.Sum64(b)
+	}
 	return sum
 }
--- a/lib/hwforward/cachelist.go
+++ b/lib/hwforward/cachelist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -25,17 +26,34 @@
 		return
 	}
 	r.cachesListed[pool] = true
+	delete(r.cacheListsPending, pool)
 	for _, u := range upstreams {
-		r.cacheLists.start(context.Background(), func(ctx context.Context) error {
-			r.listCache(ctx, pool, u)
-			return nil
-		})
+		r.startCacheList(pool, u)
 	}
 }
 
+// startCacheList asks one engine in the background, or once its zone is restored. The lock must be held.
+func (r *Router) startCacheList(pool string, u hwplace.Upstream) {
+	if r.evacuations.IsEvacuated(u.Zone) {
+		r.cacheListsPending[pool] = append(r.cacheListsPending[pool], u)
+		return
+	}
+	r.cacheLists.start(context.Background(), func(ctx context.Context) error {
+		r.listCache(ctx, pool, u)
+		return nil
+	})
+}
+
 // listCache asks one engine what it has cached. Without an answer the router learns it from the prompts that it sends.
 func (r *Router) listCache(ctx context.Context, pool string, u hwplace.Upstream) {
-	segments, err := r.queryCache(ctx, u.Address)
+	segments, err := r.queryCache(ctx, u)
+	var withheld *hwlink.WithheldError
+	if errors.As(err, &withheld) {
+		r.lock.Lock()
+		defer r.lock.Unlock()
+		r.cacheListsPending[pool] = append(r.cacheListsPending[pool], u)
+		return
+	}
 	if err != nil {
 		r.logger.Emit(hwevent.CacheNotListed, hwevent.With("upstream", u.ID), hwevent.With("pool", pool), hwevent.With("cause", err.Error()))
 		return
@@ -51,15 +69,16 @@
 	}
 }
 
-func (r *Router) queryCache(ctx context.Context, address string) ([]hwprompt.CachedSegment, error) {
+func (r *Router) queryCache(ctx context.Context, u hwplace.Upstream) ([]hwprompt.CachedSegment, error) {
 	ctx, cancel := context.WithTimeout(ctx, cacheListTimeout)
 	defer cancel()
 	response, exchangeErr := r.transport.Do(ctx, r.clock.Now(), &hwlink.Request{
-		Address: address,
-		Method:  http.MethodGet,
-		Target:  r.cacheLister.CacheListTarget(),
-		Host:    address,
-		Header:  http.Header{},
+		Address:  u.Address,
+		Method:   http.MethodGet,
+		Target:   r.cacheLister.CacheListTarget(),
+		Host:     u.Address,
+		Header:   http.Header{},
+		Withhold: func() bool { return r.isEvacuated(u) },
 	})
 	if exchangeErr != nil {
 		return nil, exchangeErr
--- a/lib/hwforward/cachelist_test.go
+++ b/lib/hwforward/cachelist_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hickorywick/hickorywick/lib/hwplace"
 	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 	"github.com/hickorywick/hickorywick/lib/hwtable"
 )
@@ -32,7 +33,7 @@
 	require.Eventually(t, func() bool { return strings.Count(f.log.String(), "cache-listed") == 2 }, 5*time.Second, time.Millisecond)
 	require.Equal(t, http.StatusOK, f.call(http.MethodGet, "/safe/1", "", "X-Tokens", "9000").status)
 	assert.Contains(t, f.log.String(), `"read-tokens":0`)
-	f.router.SetUpstreams(f.clock.now(), f.list)
+	f.router.SetUpstreams(f.clock.now(), f.list, hwplace.EvacuatedZones{})
 	require.NoError(t, f.router.Close())
 	assert.EqualValues(t, 2, f.cacheQueries.Load())
 }
--- a/lib/hwforward/forward_test.go
+++ b/lib/hwforward/forward_test.go
@@ -327,7 +327,7 @@
 	var f *fixture
 	var first atomic.Bool
 	removesUpstreams := func(rw http.ResponseWriter, r *http.Request) {
-		f.router.SetUpstreams(f.clock.now(), nil)
+		f.router.SetUpstreams(f.clock.now(), nil, hwplace.EvacuatedZones{})
 		streamHandler(7, false)(rw, r)
 	}
 	fails := func(code int) http.HandlerFunc {
@@ -414,7 +414,7 @@
 			Draining: i == 0,
 		})
 	}
-	f.router.SetUpstreams(f.clock.now(), list)
+	f.router.SetUpstreams(f.clock.now(), list, hwplace.EvacuatedZones{})
 	for range 10 {
 		assert.Equal(t, http.StatusOK, f.call(http.MethodGet, "/safe/1", "").status)
 	}
--- a/lib/hwforward/notices.go
+++ b/lib/hwforward/notices.go
@@ -41,7 +41,7 @@
 	r.logger.Emit(hwevent.UpstreamLeaving, hwevent.With("upstream", upstream), hwevent.With("pool", pool), hwevent.With("source", source))
 }
 
-// isUpstreamUnavailable reports whether the chosen upstream has announced since the choice that it leaves or pauses.
+// isUpstreamUnavailable reports whether the chosen upstream has announced since the choice that it leaves or pauses, or its zone has been evacuated.
 func (e *exchange) isUpstreamUnavailable() bool {
 	r := e.router
 	now := r.clock.Now()
@@ -64,6 +64,9 @@
 // refuseWithoutUpstream refuses a request for which no upstream is eligible. If upstreams pause, the caller returns after the first of them takes requests again. The lock must be held.
 func (e *exchange) refuseWithoutUpstream(now time.Time, pool *hwplace.Pool) *hwerror.RequestError {
 	earliest, pausing := pool.EarliestReturn(now)
+	if refusal := e.refuseEvacuated(now, pool, earliest, pausing); refusal != nil {
+		return refusal
+	}
 	if !pausing {
 		return newRefusal(hwerror.KindNoUpstream, "the pool has no upstream").WithRetryAfter(noUpstreamRetryAfter)
 	}
--- a/lib/hwforward/notices_test.go
+++ b/lib/hwforward/notices_test.go
@@ -39,7 +39,7 @@
 			f := newFixture(t, withHeader(leaving, "X-Leaving", "1"), respondEvents)
 			for range 12 {
 				f.call(http.MethodPost, "/resumable/1", "x")
-				f.router.SetUpstreams(f.clock.now(), f.list)
+				f.router.SetUpstreams(f.clock.now(), f.list, hwplace.EvacuatedZones{})
 			}
 			assert.LessOrEqual(t, f.requestCounts[0].Load(), int32(1))
 			assert.Contains(t, f.log.String(), `"source":"answer"`)
--- a/lib/hwforward/quarantine.go
+++ b/lib/hwforward/quarantine.go
@@ -69,10 +69,13 @@
 	return checked
 }
 
-// checkForCrash finds out whether an upstream still accepts connections.
+// checkForCrash finds out whether an upstream still accepts connections. One in an evacuated zone is not probed; only its restart shows that it has crashed.
 func (r *Router) checkForCrash(ctx context.Context, upstream hwplace.Upstream) {
 	hwtask.Sleep(ctx, crashCheckDelay)
-	err := r.probe(ctx, upstream)
+	var err error
+	if !r.isEvacuated(upstream) {
+		err = r.probe(ctx, upstream)
+	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	delete(r.pendingChecks, upstream.ID)
@@ -125,8 +128,11 @@
 	return now
 }
 
-// isServing reports whether an upstream is listed and not draining: one that leaves also closes its connections and accepts no new ones. The lock must be held.
+// isServing reports whether an upstream is listed, not draining and not in an evacuated zone: one that leaves also closes its connections and accepts no new ones, and operators evacuate zones to stop or restart what runs there. The lock must be held.
 func (r *Router) isServing(now time.Time, upstream hwplace.Upstream) bool {
+	if r.evacuations.IsEvacuated(upstream.Zone) {
+		return false
+	}
 	if p := r.pools[upstream.Pool]; p != nil && p.IsLeaving(now, upstream) {
 		return false
 	}
--- a/lib/hwforward/refusal_bench_test.go
+++ b/lib/hwforward/refusal_bench_test.go
@@ -32,7 +32,7 @@
 		list = append(list, hwplace.Upstream{ID: id, Address: "127.0.0.1:9", Pool: "ledger", Slots: 32})
 		loads = append(loads, hwplace.PeerLoad{Upstream: hwplace.HashID(id), PendingTokens: 100_000, Running: 1})
 	}
-	f.router.SetUpstreams(f.clock.now(), list)
+	f.router.SetUpstreams(f.clock.now(), list, hwplace.EvacuatedZones{})
 	address := f.front.Listener.Addr().String()
 	request := "POST /order/1 HTTP/1.1\r\nHost: " + host + "\r\nX-Key: flood\r\nConnection: close\r\nContent-Length: 17000\r\n\r\n" + strings.Repeat("x", 17000)
 	b.ResetTimer()
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -104,10 +104,14 @@
 	returnSchedules map[string]*hwadmit.ReturnSchedule
 	// notices are what upstreams have said of themselves in answers.
 	notices *hwplace.Notices
+	// evacuations are the zones that the operators evacuate.
+	evacuations *hwplace.Evacuations
 	// upstreams is the current list of upstreams by pool.
 	upstreams map[string][]hwplace.Upstream
 	// cachesListed contains the pools whose engines were asked for the contents of their caches.
 	cachesListed map[string]bool
+	// cacheListsPending contains the engines, by pool, that were not asked because their zones were evacuated.
+	cacheListsPending map[string][]hwplace.Upstream
 	// crashSuspects are requests that were in flight at an upstream when its connection failed.
 	crashSuspects []crashSuspect
 	// pendingChecks holds, by upstream, a channel that is closed once it is known whether the upstream has crashed.
@@ -145,6 +149,7 @@
 		shares:          hwadmit.NewFairShares(settings.ShareWindow),
 		returnSchedules: map[string]*hwadmit.ReturnSchedule{},
 		notices:         hwplace.NewNotices(),
+		evacuations:     hwplace.NewEvacuations(),
 		pendingChecks:   map[string]chan struct{}{},
 		segments:        hwquarantine.NewSegmentTracker(settings.Segments),
 		exposures: hwquarantine.NewExposures[hwplace.Lifetime](hwquarantine.ExposureSettings{
@@ -161,6 +166,8 @@
 		cachesListed:   map[string]bool{},
 		metrics:        newMetrics(),
 		closing:        make(chan struct{}),
+
+		cacheListsPending: map[string][]hwplace.Upstream{},
 	}
 }
 
@@ -219,14 +226,15 @@
 	return -1
 }
 
-// SetUpstreams replaces the list of upstreams.
-func (r *Router) SetUpstreams(now time.Time, list []hwplace.Upstream) {
+// SetUpstreams replaces the list of upstreams and, unless they are older than the current ones, the evacuated zones.
+func (r *Router) SetUpstreams(now time.Time, list []hwplace.Upstream, evacuated hwplace.EvacuatedZones) {
 	byPool := map[string][]hwplace.Upstream{}
 	for _, u := range list {
 		byPool[u.Pool] = append(byPool[u.Pool], u)
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	r.setEvacuated(now, evacuated)
 	for name := range r.upstreams {
 		if _, listed := byPool[name]; !listed {
 			byPool[name] = nil
@@ -236,6 +244,7 @@
 		r.updatePool(now, name, upstreams)
 	}
 	r.upstreams = byPool
+	r.listPendingCaches()
 }
 
 // updatePool sets the upstreams of a pool and logs the changes. The lock must be held.
@@ -279,7 +288,7 @@
 	if config.Engine != nil {
 		cacheTokens = config.Engine.CacheTokens
 	}
-	p := hwplace.New(r.settings.Placement, r.notices, cacheTokens)
+	p := hwplace.New(r.settings.Placement, r.notices, r.evacuations, cacheTokens)
 	p.SetUpstreams(r.upstreams[name])
 	r.pools[name] = p
 	return p
--- a/lib/hwforward/segment_crash_test.go
+++ b/lib/hwforward/segment_crash_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/hickorywick/hickorywick/lib/hwforward"
+	"github.com/hickorywick/hickorywick/lib/hwplace"
 	"github.com/hickorywick/hickorywick/lib/hwprompt"
 	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 )
@@ -232,7 +233,7 @@
 		return func(http.ResponseWriter, *http.Request) {
 			list := slices.Clone(f.list)
 			list[i].Draining = true
-			f.router.SetUpstreams(f.clock.now(), list)
+			f.router.SetUpstreams(f.clock.now(), list, hwplace.EvacuatedZones{})
 			_ = f.upstreams[i].Listener.Close()
 			go f.upstreams[i].CloseClientConnections()
 			panic(http.ErrAbortHandler)
--- a/lib/hwforward/silent_crash_test.go
+++ b/lib/hwforward/silent_crash_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/hickorywick/hickorywick/lib/hwplace"
 )
 
 // newSilentFleet returns a fleet whose upstreams fall silent at the crashing segment for a time, and then end all connections at the moment at which their next lifetime is listed and accepts new ones.
@@ -44,7 +46,7 @@
 	list[i].ID = fmt.Sprintf("u%d-%d", i, c.crashes.Load())
 	list[i].Incarnation++
 	c.list = list
-	c.router.SetUpstreams(c.clock.now(), list)
+	c.router.SetUpstreams(c.clock.now(), list, hwplace.EvacuatedZones{})
 }
 
 // Engines went dark and broke their connections seconds later, when they accepted new ones again. No crash was recorded, and every request with the segment took another engine.
@@ -70,7 +72,7 @@
 		next[i].ID += "-next"
 		next[i].Incarnation++
 	}
-	f.router.SetUpstreams(f.clock.now(), draining)
-	f.router.SetUpstreams(f.clock.now(), next)
+	f.router.SetUpstreams(f.clock.now(), draining, hwplace.EvacuatedZones{})
+	f.router.SetUpstreams(f.clock.now(), next, hwplace.EvacuatedZones{})
 	assert.NotContains(t, f.log.String(), "upstream-crashed")
 }
--- a/lib/hwforward/survival.go
+++ b/lib/hwforward/survival.go
@@ -88,7 +88,7 @@
 	})
 }
 
-// finishSurvivalCheck ends a check. An idle connection that is still open shows that the upstream's process lives, and a new one that its host does too. A new one is opened only if the answer would change what is known, or if the upstream has closed the idle ones.
+// finishSurvivalCheck ends a check. An idle connection that is still open shows that the upstream's process lives, and a new one that its host does too. A new one is opened only if the answer would change what is known, or if the upstream has closed the idle ones, and never in an evacuated zone.
 func (r *Router) finishSurvivalCheck(ctx context.Context, upstream hwplace.Upstream) {
 	lifetime := upstream.Lifetime()
 	now := r.clock.Now()
@@ -97,6 +97,7 @@
 	settled := r.exposures.Settled(now, lifetime)
 	undecided := slices.ContainsFunc(settled, r.isUndecided)
 	suspicion := r.segments.HasCrashes()
+	evacuated := r.evacuations.IsEvacuated(upstream.Zone)
 	r.lock.Unlock()
 	if len(settled) == 0 {
 		return
@@ -104,6 +105,8 @@
 	var err error
 	switch state := r.transport.IdleState(now, upstream.Address); {
 	case state == hwlink.IdleOpen && (!suspicion || !undecided):
+	case evacuated:
+		return
 	case state == hwlink.IdleClosed, undecided:
 		err = r.probe(ctx, upstream)
 	default:
--- a/lib/hwforward/truncated_head_test.go
+++ b/lib/hwforward/truncated_head_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/hickorywick/hickorywick/lib/hwplace"
 )
 
 // closingUpstream accepts connections and sends the given bytes in answer to each request, with %ID% replaced by its ID, and then closes the connection.
@@ -56,7 +58,7 @@
 				f := newFixture(t, respondOK)
 				list := f.list
 				list[0].Address = closingUpstream(t, c.head[:cut])
-				f.router.SetUpstreams(f.clock.now(), list)
+				f.router.SetUpstreams(f.clock.now(), list, hwplace.EvacuatedZones{})
 				got := f.call(http.MethodPost, c.path, "x")
 				assert.NotEqual(t, http.StatusOK, got.status, fmt.Sprintf("%q", c.head[:cut]))
 				f.front.Close()
@@ -87,7 +89,7 @@
 				}
 				list := f.list
 				list[0].Address = closingUpstream(t, head+answer)
-				f.router.SetUpstreams(f.clock.now(), list)
+				f.router.SetUpstreams(f.clock.now(), list, hwplace.EvacuatedZones{})
 				got := f.call(http.MethodPost, path, "x")
 				assert.False(t, got.status == http.StatusOK && got.complete, "%s: %d %q", path, got.status, got.body)
 			}
--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -297,7 +297,7 @@
 		})
 	}
 	f.list = list
-	f.router.SetUpstreams(f.clock.now(), list)
+	f.router.SetUpstreams(f.clock.now(), list, hwplace.EvacuatedZones{})
 	f.front = httptest.NewServer(f.router)
 	t.Cleanup(f.front.Close)
 	return f
--- a/lib/hwfront/server_test.go
+++ b/lib/hwfront/server_test.go
@@ -96,7 +96,7 @@
 		Routes:  []hwtable.Route{{Host: "127.0.0.1", Prefix: "/", Timeout: time.Minute, Targets: []hwtable.Target{{Pool: "p", Weight: 1}}}},
 		Pools:   []hwtable.Pool{{Name: "p"}},
 	}))
-	router.SetUpstreams(time.Now(), []hwplace.Upstream{{ID: "u", Address: upstream.Listener.Addr().String(), Pool: "p", Slots: 4}})
+	router.SetUpstreams(time.Now(), []hwplace.Upstream{{ID: "u", Address: upstream.Listener.Addr().String(), Pool: "p", Slots: 4}}, hwplace.EvacuatedZones{})
 	router.ConfirmTable(time.Now(), time.Hour)
 	require.Equal(t, http.StatusOK, getStatus(t, "http://"+readiness+"/ready"))
 	require.Equal(t, http.StatusOK, getStatus(t, "http://"+metrics+"/metrics"))
@@ -216,7 +216,7 @@
 		Routes:  []hwtable.Route{{Host: "127.0.0.1", Prefix: "/", Timeout: time.Minute, Targets: []hwtable.Target{{Pool: "p", Weight: 1}}}},
 		Pools:   []hwtable.Pool{{Name: "p"}},
 	}))
-	router.SetUpstreams(time.Now(), []hwplace.Upstream{{ID: "u", Address: upstream.Listener.Addr().String(), Pool: "p", Slots: 4}})
+	router.SetUpstreams(time.Now(), []hwplace.Upstream{{ID: "u", Address: upstream.Listener.Addr().String(), Pool: "p", Slots: 4}}, hwplace.EvacuatedZones{})
 	router.ConfirmTable(time.Now(), time.Hour)
 	require.Eventually(t, func() bool {
 		conn, err := net.Dial("tcp4", clients)
--- a/lib/hwplace/notices.go
+++ b/lib/hwplace/notices.go
@@ -125,14 +125,10 @@
 	if e == nil || e.pauseEnd.IsZero() {
 		return maxRequests
 	}
-	switch elapsed := now.Sub(e.pauseEnd); {
-	case elapsed < 0:
+	if now.Before(e.pauseEnd) {
 		return 0
-	case elapsed >= recoveryTime:
-		return maxRequests
-	default:
-		return 1 + int(float64(slots)*elapsed.Seconds()/recoveryTime.Seconds())
 	}
+	return recoveringRequests(now.Sub(e.pauseEnd), slots)
 }
 
 // maxRequests stands for no limit on the requests at an upstream.
@@ -143,11 +139,6 @@
 	return s.upstream.Draining || s.notice.isLeaving(now)
 }
 
-// takesRequests reports whether an upstream may get a request of this router: it neither leaves nor pauses, and is not busy with its first requests after a pause.
-func (s *upstreamState) takesRequests(now time.Time) bool {
-	return !s.isLeaving(now) && s.running < s.notice.allowedRequests(now, s.upstream.Slots)
-}
-
 // RecordLeaving records whether an upstream said in an answer to this router that it leaves, and reports whether that is news. Its word holds for the rest of the lifetime. An answer without it refutes what peers said, but not what the upstream said before, because answers may arrive out of order.
 func (p *Pool) RecordLeaving(now time.Time, upstream Upstream, leaving bool) bool {
 	if !leaving {
@@ -208,10 +199,10 @@
 	return p.notices.find(upstream.Lifetime()).isLeaving(now)
 }
 
-// IsAvailable reports whether a request that was assigned to an upstream may still be sent: the upstream may have announced a pause or its leaving while the connection was opened.
+// IsAvailable reports whether a request that was assigned to an upstream may still be sent: the upstream may have announced a pause or its leaving while the connection was opened, or its zone may have been evacuated.
 func (p *Pool) IsAvailable(now time.Time, upstream Upstream) bool {
 	e := p.notices.find(upstream.Lifetime())
-	return !e.isLeaving(now) && !e.isPausing(now)
+	return !e.isLeaving(now) && !e.isPausing(now) && !p.evacuations.IsEvacuated(upstream.Zone)
 }
 
 // Unavailable counts the upstreams that leave and those that pause, for metrics.
@@ -227,20 +218,29 @@
 	return leaving, pausing
 }
 
-// ActiveUpstreams returns the number of upstreams that neither leave nor pause.
+// ActiveUpstreams returns the number of upstreams that neither leave nor pause, and whose zones are not evacuated.
 func (p *Pool) ActiveUpstreams(now time.Time) int {
-	leaving, pausing := p.Unavailable(now)
-	return len(p.upstreams) - leaving - pausing
+	active := 0
+	for _, s := range p.upstreams {
+		if !s.isLeaving(now) && !s.notice.isPausing(now) && !p.isEvacuated(s) {
+			active++
+		}
+	}
+	return active
 }
 
-// EarliestReturn returns when the first of the upstreams takes requests again that pause or have just paused, or false if there is none.
+// EarliestReturn returns when the first of the upstreams takes requests again that pause, have just paused or whose zones have just been restored, or false if there is none.
 func (p *Pool) EarliestReturn(now time.Time) (time.Time, bool) {
 	var earliest time.Time
 	for _, s := range p.upstreams {
-		if s.isLeaving(now) || s.notice.allowedRequests(now, s.upstream.Slots) == maxRequests {
+		if s.isLeaving(now) || p.isEvacuated(s) || p.allowedRequests(now, s) == maxRequests {
 			continue
 		}
-		if end := s.notice.pauseEnd; earliest.IsZero() || end.Before(earliest) {
+		end := p.evacuations.RestoredAt(s.upstream.Zone)
+		if s.notice != nil && s.notice.pauseEnd.After(end) {
+			end = s.notice.pauseEnd
+		}
+		if earliest.IsZero() || end.Before(earliest) {
 			earliest = end
 		}
 	}
--- a/lib/hwplace/notices_test.go
+++ b/lib/hwplace/notices_test.go
@@ -13,7 +13,7 @@
 // noticePool is a pool of plain services with what its upstreams have said.
 func noticePool(count int) (*hwplace.Pool, *hwplace.Notices, []hwplace.Upstream) {
 	notices := hwplace.NewNotices()
-	pool := hwplace.New(settings(), notices, 0)
+	pool := hwplace.New(settings(), notices, hwplace.NewEvacuations(), 0)
 	list := upstreams("ledger", count)
 	for i := range list {
 		list[i].Incarnation = 1
@@ -46,7 +46,7 @@
 	pool.SetUpstreams(list[1:])
 	pool.SetUpstreams(list)
 	assert.NotContains(t, chosen(pool, seconds(61)), "ledger-0", "its entry lapsed and returned")
-	again := hwplace.New(settings(), notices, 0)
+	again := hwplace.New(settings(), notices, hwplace.NewEvacuations(), 0)
 	again.SetUpstreams(list)
 	assert.NotContains(t, chosen(again, seconds(62)), "ledger-0", "the configuration changed")
 	pool.RecordLeaving(seconds(63), list[0], false)
--- a/lib/hwplace/place_test.go
+++ b/lib/hwplace/place_test.go
@@ -45,7 +45,7 @@
 }
 
 func enginePool(count int) *hwplace.Pool {
-	p := hwplace.New(settings(), hwplace.NewNotices(), 500_000)
+	p := hwplace.New(settings(), hwplace.NewNotices(), hwplace.NewEvacuations(), 500_000)
 	p.SetUpstreams(upstreams("engine", count))
 	return p
 }
@@ -78,7 +78,7 @@
 }
 
 func Example() {
-	pool := hwplace.New(settings(), hwplace.NewNotices(), 500_000)
+	pool := hwplace.New(settings(), hwplace.NewNotices(), hwplace.NewEvacuations(), 500_000)
 	pool.SetUpstreams(upstreams("engine", 3))
 	request := documentRequest(1, 1)
 	first, _ := pool.Choose(start, request)
@@ -179,7 +179,7 @@
 
 // A replica that is up but fails requests gets no more of them until the failures have decayed.
 func TestFailingUpstreamsAreAvoidedUntilFailuresDecay(t *testing.T) {
-	p := hwplace.New(settings(), hwplace.NewNotices(), 0)
+	p := hwplace.New(settings(), hwplace.NewNotices(), hwplace.NewEvacuations(), 0)
 	p.SetUpstreams(upstreams("service", 3))
 	for range 3 {
 		request := hwplace.Request{}
@@ -217,7 +217,7 @@
 
 // An upstream that reports a slowdown is avoided.
 func TestSlowUpstreamsAreAvoided(t *testing.T) {
-	p := hwplace.New(settings(), hwplace.NewNotices(), 0)
+	p := hwplace.New(settings(), hwplace.NewNotices(), hwplace.NewEvacuations(), 0)
 	p.SetUpstreams(upstreams("service", 3))
 	for i := range 10 {
 		p.RecordLoad(start.Add(time.Duration(i)*100*time.Millisecond), "service-1", hwplace.Load{Slots: 6, SlowdownPercent: 500})
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -125,9 +125,10 @@
 
 // Pool holds the upstreams of one pool with the router's estimates of their load, caches and health. It is not safe for concurrent use.
 type Pool struct {
-	settings   Settings
-	notices    *Notices
-	hasEngines bool
+	settings    Settings
+	notices     *Notices
+	evacuations *Evacuations
+	hasEngines  bool
 	// cacheCapacity is the number of prompt tokens that an engine is assumed to keep cached.
 	cacheCapacity int
 	// upstreams is keyed by id.
@@ -154,11 +155,12 @@
 	loads      []PeerLoad
 }
 
-// New returns a pool without upstreams. Notices are what all upstreams have said of themselves; pools share them. CacheTokens is the size of an engine's KV cache in tokens, or 0 for a plain service.
-func New(settings Settings, notices *Notices, cacheTokens int) *Pool {
+// New returns a pool without upstreams. Notices are what all upstreams have said of themselves, evacuations the zones that the operators evacuate; pools share both. CacheTokens is the size of an engine's KV cache in tokens, or 0 for a plain service.
+func New(settings Settings, notices *Notices, evacuations *Evacuations, cacheTokens int) *Pool {
 	return &Pool{
 		settings:           settings,
 		notices:            notices,
+		evacuations:        evacuations,
 		hasEngines:         cacheTokens > 0,
 		cacheCapacity:      int(float64(cacheTokens) * settings.PrefixCacheRatio),
 		upstreams:          map[string]*upstreamState{},
@@ -305,7 +307,7 @@
 	holder, cached := p.largestCacheHolder(now, request)
 	affinity := p.affinityUpstream(now, request.Prompt)
 	for id, s := range p.upstreams {
-		if !s.takesRequests(now) || slices.Contains(request.Excluded, id) {
+		if !p.takesRequests(now, s) || slices.Contains(request.Excluded, id) {
 			continue
 		}
 		choice, score := p.evaluate(now, s, request, holder, cached)
@@ -401,7 +403,7 @@
 	first := ""
 	highest := uint64(0)
 	for id, s := range p.upstreams {
-		if s.isLeaving(now) {
+		if s.isLeaving(now) || p.isEvacuated(s) {
 			continue
 		}
 		if score := hwprompt.RendezvousScore(prefixHash, s.hash); first == "" || score > highest {
@@ -412,7 +414,7 @@
 	return first
 }
 
-// largestCacheHolder returns the healthy upstream that has cached the longest prefix of a prompt, with the length of that prefix in tokens. It may be a draining one: that gets no requests, but others can still fetch from its cache.
+// largestCacheHolder returns the healthy upstream that has cached the longest prefix of a prompt, with the length of that prefix in tokens. It may be a draining one, or one in an evacuated zone: that gets no requests, but others can still fetch from its cache.
 func (p *Pool) largestCacheHolder(now time.Time, request Request) (*upstreamState, int) {
 	if !p.hasEngines || p.settings.MinFetchTokens <= 0 {
 		return nil, 0
