--- /dev/null
+++ b/lib/hwfleet/evacuated_peers_test.go
@@ -0,0 +1,54 @@
+package hwfleet_test
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorywick/hickorywick/lib/hwfollow"
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+)
+
+// A zone is evacuated while the list, of several datagrams, stays the same. Every router that takes it from the reader must learn the zone with the list, and later revisions without it. The revision changes with each read of the store, also between two parts of a list.
+func TestEvacuatedZonesComeWithTheListOfTheReader(t *testing.T) {
+	var list []hwplace.Upstream
+	for i := range 1000 {
+		list = append(list, hwplace.Upstream{ID: "upstream-" + strconv.Itoa(i), Address: "10.0.0.1:80", Zone: "zone-a", Pool: "pool", Slots: 16})
+	}
+	zones := []string{"zone-a", "zone-b"}
+	var revision atomic.Int64
+	revision.Store(100)
+	fleets := startFour(t, func(int) hwfollow.Snapshot {
+		return hwfollow.Snapshot{
+			Revision:   1,
+			ListDigest: hwfollow.ListDigest(list, zones...),
+			List:       list,
+			Evacuated: hwplace.EvacuatedZones{
+				Revision: revision.Add(1),
+				Zones:    zones,
+			},
+		}
+	})
+	for _, fleet := range fleets {
+		if fleet.IsReader(time.Now()) {
+			continue
+		}
+		before := revision.Load()
+		got, err := fleet.QueryPeers(context.Background(), hwfollow.Query{WantList: true, MaxAge: time.Second})
+		require.NoError(t, err)
+		assert.Equal(t, list, got.List)
+		assert.Equal(t, zones, got.Evacuated.Zones)
+		assert.Greater(t, got.Evacuated.Revision, before)
+		first := got.Evacuated.Revision
+		got, err = fleet.QueryPeers(context.Background(), hwfollow.Query{WantList: true, KnownListDigest: got.ListDigest, MaxAge: time.Second})
+		require.NoError(t, err)
+		assert.Nil(t, got.List, "the list is known")
+		assert.Empty(t, got.Evacuated.Zones)
+		assert.Greater(t, got.Evacuated.Revision, first, "and so are the zones, as of a newer revision")
+	}
+}
--- a/lib/hwfollow/follow_test.go
+++ b/lib/hwfollow/follow_test.go
@@ -84,6 +84,8 @@
 	tableCalls atomic.Int64
 	// beforeTable runs before Table returns a result.
 	beforeTable func()
+	// evacuated is returned with the list.
+	evacuated hwplace.EvacuatedZones
 }
 
 type unavailableError struct{}
@@ -130,7 +132,9 @@
 	if s.failing.Load() {
 		return hwfollow.ListResult{}, unavailableError{}
 	}
-	return hwfollow.ListResult{Upstreams: upstreams("a")}, nil
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return hwfollow.ListResult{Upstreams: upstreams("a"), Evacuated: s.evacuated}, nil
 }
 
 // recordingSink records what a poller passes to it.
@@ -139,6 +143,7 @@
 	versions  []uint64
 	confirmed time.Duration
 	upstreams int
+	evacuated hwplace.EvacuatedZones
 	cutOff    bool
 }
 
@@ -200,9 +205,10 @@
 	s.confirmed = boot
 }
 
-func (s *recordingSink) SetUpstreams(_ time.Time, list []hwplace.Upstream, _ hwplace.EvacuatedZones) {
+func (s *recordingSink) SetUpstreams(_ time.Time, list []hwplace.Upstream, evacuated hwplace.EvacuatedZones) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.evacuated = evacuated
 	s.upstreams = len(list)
 }
 
--- a/lib/hwfollow/shared_test.go
+++ b/lib/hwfollow/shared_test.go
@@ -25,6 +25,7 @@
 	snapshot := f.snapshot
 	if !query.WantList || query.KnownListDigest == snapshot.ListDigest {
 		snapshot.List = nil
+		snapshot.Evacuated.Zones = nil
 	}
 	if f.err == nil && !query.Accepts(f.snapshot) {
 		return hwfollow.Snapshot{}, unavailableError{}
--- a/lib/hwforward/metrics_test.go
+++ b/lib/hwforward/metrics_test.go
@@ -22,6 +22,7 @@
 func TestOperatorDocumentationNamesAllMetrics(t *testing.T) {
 	f := newFixture(t, respondOK)
 	require.Equal(t, http.StatusOK, f.call(http.MethodGet, "/safe/1", "").status)
+	f.evacuate(1, "z")
 	f.router.ApplyPeerUpdate(f.clock.now(), "peer", peerUpdate(map[string]hwadmit.Usage{"account": {Demand: 1, Admitted: 1}}, nil))
 	var served strings.Builder
 	f.router.WriteMetrics(&served, f.clock.now())
--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -26,7 +26,10 @@
 )
 
 // testProtocol uses short headers: X-Id, X-Key, X-Left, X-Account, X-Expect, X-Signed, X-Not-Run, X-Leaving, X-Pause (in seconds), Last-Event-Id.
-type testProtocol struct{}
+type testProtocol struct {
+	// beforeConnect, if it holds a function, is called with the ID of the chosen upstream before a connection is taken or opened.
+	beforeConnect *atomic.Pointer[func(upstream string)]
+}
 
 func (testProtocol) RequestIDHeader() string { return "X-Id" }
 
@@ -76,7 +79,10 @@
 	}
 }
 
-func (testProtocol) UpstreamHeader(h http.Header, info hwforward.ForwardInfo) http.Header {
+func (p testProtocol) UpstreamHeader(h http.Header, info hwforward.ForwardInfo) http.Header {
+	if before := p.beforeConnect.Load(); before != nil {
+		(*before)(info.ExpectedUpstream)
+	}
 	next := h.Clone()
 	for _, name := range append(hwforward.HopByHopHeaders, "X-Key") {
 		next.Del(name)
@@ -148,6 +154,8 @@
 	// cacheList is what every upstream answers to queries for cached segments, and cacheQueries counts them.
 	cacheList    string
 	cacheQueries atomic.Int32
+	// beforeConnect is called once an upstream was chosen, before the connection is open.
+	beforeConnect atomic.Pointer[func(upstream string)]
 }
 
 type lockedBuffer struct {
@@ -262,7 +270,7 @@
 	}
 	change(&chosen)
 	f.router = hwforward.New(chosen, hwforward.Dependencies{
-		Protocol:    testProtocol{},
+		Protocol:    testProtocol{beforeConnect: &f.beforeConnect},
 		CacheLister: testProtocol{},
 		Transport:   f.transport,
 		Logger:      hwevent.New(f.log, hwevent.Info),
