--- a/lib/hwforward/refusal_bench_test.go
+++ b/lib/hwforward/refusal_bench_test.go
@@ -14,7 +14,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwtable"
 )
 
-// BenchmarkRefusal measures the cost of refusing one request on a new connection, as a client sends it when it retries: 140 busy engines and a body of 17 kB.
+// BenchmarkRefusal measures the cost of refusing one request of an account over its share on a new connection, as a client sends it when it retries: 140 busy engines and a body of 17 kB.
 func BenchmarkRefusal(b *testing.B) {
 	f := newFixture(b, respondOK)
 	f.router.SetTable(f.clock.now(), hwtable.New(hwtable.Config{
@@ -35,7 +35,7 @@
 	f.router.SetUpstreams(f.clock.now(), list)
 	address := f.front.Listener.Addr().String()
 	request := "POST /order/1 HTTP/1.1\r\nHost: " + host + "\r\nX-Key: flood\r\nConnection: close\r\nContent-Length: 17000\r\n\r\n" + strings.Repeat("x", 17000)
-	b.ResetTimer()
+	costs := startCosts(b)
 	for range b.N {
 		f.router.ApplyPeerUpdate(f.clock.now(), "peer", peerUpdate(map[string]hwadmit.Usage{"flood": {Demand: 1e6, Admitted: 1e6}}, loads))
 		conn, err := net.Dial("tcp4", address)
@@ -44,9 +44,10 @@
 		}
 		_, _ = io.WriteString(conn, request)
 		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		if err != nil || response.StatusCode != http.StatusTooManyRequests {
 			b.Fatal(err, response)
 		}
 		_ = conn.Close()
 	}
+	costs.report()
 }
