The choice of an upstream looks up each segment of a prompt once

Cause: Choose looked up every segment of the prompt in the cache of every upstream, twice (for the affinity to caches and for the holder to fetch from), built a Choice for each, looked up the peers' loads of each in a map, and scanned all peer reports for outdated ones. A peer's report was subtracted and added whole, although most of its loads stay the same. Change: CacheIndex also keeps the holders of each segment, so that two look-ups a segment give the cached tokens of all upstreams. Choose walks a slice of small estimates, with pointers to the sums of the peers' loads. Reports change the sums only by what differs, and are scanned for outdated ones only if the oldest may be. Among equal scores the first from a position that the request's random number gives wins; before it was the random order of a map.

--- a/lib/hwplace/member.go
+++ b/lib/hwplace/member.go
@@ -10,6 +10,9 @@
 	upstream Upstream
 	// hash is the 64-bit hash of the upstream's id.
 	hash uint64
+	// cacheSlot is the upstream's slot in the cache index, and peers what the other routers have placed on it.
+	cacheSlot int
+	peers     *peerLoadSum
 	// running counts this router's requests in flight at the upstream.
 	running int
 	// unanswered counts those of them from which nothing has been received yet.
--- a/lib/hwplace/notices.go
+++ b/lib/hwplace/notices.go
@@ -216,7 +216,7 @@
 
 // Unavailable counts the upstreams that leave and those that pause, for metrics.
 func (p *Pool) Unavailable(now time.Time) (leaving, pausing int) {
-	for _, s := range p.upstreams {
+	for _, s := range p.ordered {
 		switch {
 		case s.isLeaving(now):
 			leaving++
@@ -236,7 +236,7 @@
 // EarliestReturn returns when the first of the upstreams takes requests again that pause or have just paused, or false if there is none.
 func (p *Pool) EarliestReturn(now time.Time) (time.Time, bool) {
 	var earliest time.Time
-	for _, s := range p.upstreams {
+	for _, s := range p.ordered {
 		if s.isLeaving(now) || s.notice.allowedRequests(now, s.upstream.Slots) == maxRequests {
 			continue
 		}
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -132,13 +132,19 @@
 	cacheCapacity int
 	// upstreams is keyed by id.
 	upstreams map[string]*upstreamState
-	idByHash  map[IDHash]string
+	// ordered holds the upstreams in the order of the list.
+	ordered  []*upstreamState
+	idByHash map[IDHash]string
 	// idByLifetime is keyed by the lifetimes of the listed upstreams.
 	idByLifetime map[LifetimeHash]string
 	cacheIndex   *hwprompt.CacheIndex
 	peerReports  map[string]peerReport
+	// oldestReport is not after the time of any peer report.
+	oldestReport time.Time
 	// peerLoadSums is the sum of the peers' reports for each upstream.
-	peerLoadSums map[IDHash]*PeerLoad
+	peerLoadSums map[IDHash]*peerLoadSum
+	// spareEntries is the memory of a replaced report, for the next one.
+	spareEntries []peerLoadEntry
 	// unsentObservations have not been sent to the peers yet.
 	unsentObservations map[IDHash]*unsentObservation
 	prefill            prefillModel
@@ -148,12 +154,6 @@
 	meanRequestMS float64
 }
 
-// peerReport is the newest load report of another router.
-type peerReport struct {
-	receivedAt time.Time
-	loads      []PeerLoad
-}
-
 // New returns a pool without upstreams. Notices are what all upstreams have said of themselves; pools share them. CacheTokens is the size of an engine's KV cache in tokens, or 0 for a plain service.
 func New(settings Settings, notices *Notices, cacheTokens int) *Pool {
 	return &Pool{
@@ -166,7 +166,7 @@
 		idByLifetime:       map[LifetimeHash]string{},
 		cacheIndex:         hwprompt.NewCacheIndex(),
 		peerReports:        map[string]peerReport{},
-		peerLoadSums:       map[IDHash]*PeerLoad{},
+		peerLoadSums:       map[IDHash]*peerLoadSum{},
 		unsentObservations: map[IDHash]*unsentObservation{},
 		prefill:            newPrefillModel(settings.InitialPrefillTokensPerMS),
 		meanRequestMS:      settings.InitialRequestMS,
@@ -189,8 +189,13 @@
 				delete(p.idByLifetime, s.upstream.Lifetime().Hash())
 			}
 			p.idByLifetime[u.Lifetime().Hash()] = u.ID
+			if s != nil {
+				p.releasePeerLoadSum(s.peers)
+			}
 			s = &upstreamState{
-				hash: hwprompt.HashUpstreamID(u.ID),
+				hash:      hwprompt.HashUpstreamID(u.ID),
+				peers:     p.acquirePeerLoadSum(HashID(u.ID)),
+				cacheSlot: p.cacheIndex.Slot(u.ID),
 			}
 			p.upstreams[u.ID] = s
 			p.idByHash[HashID(u.ID)] = u.ID
@@ -207,71 +212,24 @@
 			delete(p.upstreams, id)
 			delete(p.idByHash, HashID(id))
 			p.cacheIndex.RemoveUpstream(id)
+			p.releasePeerLoadSum(s.peers)
 			removed = append(removed, id)
 		}
 	}
-	return added, removed, draining
-}
-
-// SetPeerLoads replaces the loads that another router reports for this pool.
-func (p *Pool) SetPeerLoads(now time.Time, router string, loads []PeerLoad) {
-	p.removePeerReport(router)
-	if len(loads) > 0 {
-		p.peerReports[router] = peerReport{
-			receivedAt: now,
-			loads:      loads,
-		}
-		p.addPeerLoads(loads, 1)
-	}
-}
-
-// peerReportMaxAge is how long a peer's report counts. A peer that sends no newer one within that time has probably stopped.
-const peerReportMaxAge = 1500 * time.Millisecond
-
-// expirePeerReports removes outdated reports.
-func (p *Pool) expirePeerReports(now time.Time) {
-	for router, report := range p.peerReports {
-		if now.Sub(report.receivedAt) > peerReportMaxAge {
-			p.removePeerReport(router)
-		}
-	}
-}
-
-func (p *Pool) removePeerReport(router string) {
-	p.addPeerLoads(p.peerReports[router].loads, -1)
-	delete(p.peerReports, router)
-}
-
-// addPeerLoads adds loads to the sums with a sign of 1 and subtracts them with -1. The sums save a choice from iterating over all reports. Unlisted upstreams have sums too, because a peer's report may arrive before the upstream's entry in the list.
-func (p *Pool) addPeerLoads(loads []PeerLoad, sign float64) {
-	for _, l := range loads {
-		sum := p.peerLoadSums[l.Upstream]
-		if sum == nil {
-			sum = &PeerLoad{
-				Upstream: l.Upstream,
-			}
-			p.peerLoadSums[l.Upstream] = sum
-		}
-		sum.PendingTokens += sign * l.PendingTokens
-		sum.Running += int(sign) * l.Running
-		if sum.Running <= 0 {
-			delete(p.peerLoadSums, l.Upstream)
+	p.ordered = p.ordered[:0]
+	for _, u := range upstreams {
+		if listed[u.ID] {
+			listed[u.ID] = false
+			p.ordered = append(p.ordered, p.upstreams[u.ID])
 		}
 	}
-}
-
-// peerLoad returns the load of all other routers at an upstream.
-func (p *Pool) peerLoad(s *upstreamState) PeerLoad {
-	if sum := p.peerLoadSums[IDHash(s.hash)]; sum != nil {
-		return *sum
-	}
-	return PeerLoad{}
+	return added, removed, draining
 }
 
 // LocalLoads returns the load that this router has placed on the upstreams, for its peers.
 func (p *Pool) LocalLoads() []PeerLoad {
 	loads := make([]PeerLoad, 0, len(p.upstreams))
-	for _, s := range p.upstreams {
+	for _, s := range p.ordered {
 		if s.running > 0 {
 			loads = append(loads, PeerLoad{
 				Upstream:      IDHash(s.hash),
@@ -297,35 +255,46 @@
 	}
 }
 
-// Choose returns the upstream with the lowest score for a request, or false when no upstream is eligible.
+// Choose returns the upstream with the lowest score for a request, or false when no upstream is eligible. Upstreams with equal scores are preferred in the order of the list from a position that the request's random number determines.
 func (p *Pool) Choose(now time.Time, request Request) (Choice, bool) {
 	p.expirePeerReports(now)
-	var best Choice
+	var best estimate
 	lowest := math.Inf(1)
-	holder, cached := p.largestCacheHolder(now, request)
+	var cachedTokens []int
+	if p.hasEngines {
+		cachedTokens = p.cacheIndex.CachedTokensBySlot(request.Prompt)
+	}
+	holder, held := p.largestCacheHolder(now, request, cachedTokens)
 	affinity := p.affinityUpstream(now, request.Prompt)
-	for id, s := range p.upstreams {
-		if !s.takesRequests(now) || slices.Contains(request.Excluded, id) {
-			continue
-		}
-		choice, score := p.evaluate(now, s, request, holder, cached)
-		if request.MaxWait > 0 && choice.QueueWait > request.MaxWait {
-			continue
-		}
-		if id == affinity {
-			score -= p.settings.AffinityDiscountRatio * float64(choice.PrefillTokens) / p.prefill.tokensPerMS
-		}
-		if request.LeastLoaded {
-			requests, _ := p.currentLoad(now, s)
-			score += leastLoadedPenaltyMS * float64(requests)
-		}
-		score += p.jitterRangeMS() * jitter(s.hash, request.Random)
-		if score < lowest {
-			best = choice
-			lowest = score
+	before, after := p.fromRandomPosition(request)
+	for _, part := range [][]*upstreamState{after, before} {
+		for _, s := range part {
+			if !s.takesRequests(now) || slices.Contains(request.Excluded, s.upstream.ID) {
+				continue
+			}
+			e := p.evaluate(now, s, request, cachedTokens, holder, held)
+			if request.MaxWait > 0 && milliseconds(e.waitMS) > request.MaxWait {
+				continue
+			}
+			score := e.score
+			if s == affinity {
+				score -= p.settings.AffinityDiscountRatio * float64(e.prefillTokens) / p.prefill.tokensPerMS
+			}
+			if request.LeastLoaded {
+				requests, _ := p.currentLoad(now, s)
+				score += leastLoadedPenaltyMS * float64(requests)
+			}
+			score += p.jitterRangeMS() * jitter(s.hash, request.Random)
+			if score < lowest {
+				best = e
+				lowest = score
+			}
 		}
 	}
-	return best, !math.IsInf(lowest, 1)
+	if best.upstream == nil {
+		return Choice{}, false
+	}
+	return best.choice(now, p.hasEngines, holder), true
 }
 
 // jitter returns a pseudorandom number in [0, 1) that depends on the upstream's hash and the request's random number.
@@ -341,44 +310,43 @@
 	return p.settings.ServiceJitterRatio * p.meanRequestMS
 }
 
-// evaluate estimates how a request would fare at an upstream and returns its score in milliseconds; the lowest score is best. The holder, if any, is the upstream from whose cache the request can fetch its first holderTokens tokens.
-func (p *Pool) evaluate(now time.Time, s *upstreamState, request Request, holder *upstreamState, holderTokens int) (Choice, float64) {
+// evaluate estimates how a request would fare at an upstream. Its score is in milliseconds; the lowest is best. The holder, if any, is the upstream from whose cache the request can fetch its first holderTokens tokens.
+func (p *Pool) evaluate(now time.Time, s *upstreamState, request Request, cachedTokens []int, holder *upstreamState, holderTokens int) estimate {
 	running, tokens := p.currentLoad(now, s)
 	slots := max(1, s.upstream.Slots)
-	choice := Choice{
-		Upstream:       s.upstream,
-		BelowHalfLoad:  2*running < slots,
-		RecentFailures: s.recentFailures(now),
+	e := estimate{
+		upstream:      s,
+		belowHalfLoad: 2*running < slots,
 	}
-	score := choice.RecentFailures * failurePenaltyMS
+	score := s.recentFailures(now) * failurePenaltyMS
 	score += s.silenceMS(now)
 	if s.upstream.Zone != p.settings.Zone {
 		score += p.settings.CrossZonePenaltyMS
 	}
 	slowdown := s.slowdownFactor(now)
 	if !p.hasEngines {
-		wait := p.meanRequestMS * slowdown * float64(max(0, running-slots+1)) / float64(slots)
-		choice.QueueWait = milliseconds(wait)
-		return choice, score + wait + p.meanRequestMS*slowdown*(1+float64(running)/float64(slots))
+		e.waitMS = p.meanRequestMS * slowdown * float64(max(0, running-slots+1)) / float64(slots)
+		e.score = score + e.waitMS + p.meanRequestMS*slowdown*(1+float64(running)/float64(slots))
+		return e
 	}
-	cached := p.cacheIndex.CachedTokens(s.upstream.ID, request.Prompt)
-	choice.PrefillTokens = request.Prompt.Tokens() - cached
+	cached := cachedTokens[s.cacheSlot]
+	e.prefillTokens = request.Prompt.Tokens() - cached
 	// cost is in tokens of prefill; a fetched token costs a part of one.
-	cost := float64(choice.PrefillTokens)
+	cost := float64(e.prefillTokens)
 	if fetched := holderTokens - cached; holder != nil && holder != s && fetched >= p.settings.MinFetchTokens {
-		choice.FetchFrom = holder.upstream.Address
-		choice.PrefillTokens -= fetched
+		e.fetches = true
+		e.prefillTokens -= fetched
 		cost -= float64(fetched) * (1 - p.settings.FetchCostRatio)
 	}
-	choice.PrefillTime = milliseconds(slowdown * cost / p.prefill.tokensPerMS)
+	e.prefillMS = slowdown * cost / p.prefill.tokensPerMS
 	wait := slowdown * tokens / p.prefill.tokensPerMS
 	// Without a free slot the request also waits until a running one ends.
 	if running >= slots {
 		wait += slotWaitMS * float64(running-slots+1) / float64(slots)
 	}
-	choice.QueueWait = milliseconds(wait)
-	score += p.settings.LoadWeight*(wait+fullBatchPenaltyMS*float64(running)/float64(slots)) + p.settings.CacheMissWeight*slowdown*cost/p.prefill.tokensPerMS
-	return choice, score
+	e.waitMS = wait
+	e.score = score + (p.settings.LoadWeight*(wait+fullBatchPenaltyMS*float64(running)/float64(slots)) + p.settings.CacheMissWeight*slowdown*cost/p.prefill.tokensPerMS)
+	return e
 }
 
 const (
@@ -392,20 +360,17 @@
 	fullBatchPenaltyMS = 200
 )
 
-// affinityUpstream returns the id of the upstream that rendezvous hashing ranks first for the prompt's shared prefix, or an empty string. All routers agree on it without communication.
-func (p *Pool) affinityUpstream(now time.Time, prompt hwprompt.Prompt) string {
+// affinityUpstream returns the upstream that rendezvous hashing ranks first for the prompt's shared prefix, or nil. All routers agree on it without communication.
+func (p *Pool) affinityUpstream(now time.Time, prompt hwprompt.Prompt) *upstreamState {
 	prefixHash, shared := prompt.SharedPrefix()
 	if !shared {
-		return ""
+		return nil
 	}
-	first := ""
+	var first *upstreamState
 	highest := uint64(0)
-	for id, s := range p.upstreams {
-		if s.isLeaving(now) {
-			continue
-		}
-		if score := hwprompt.RendezvousScore(prefixHash, s.hash); first == "" || score > highest {
-			first = id
+	for _, s := range p.ordered {
+		if score := hwprompt.RendezvousScore(prefixHash, s.hash); (first == nil || score > highest) && !s.isLeaving(now) {
+			first = s
 			highest = score
 		}
 	}
@@ -413,19 +378,19 @@
 }
 
 // largestCacheHolder returns the healthy upstream that has cached the longest prefix of a prompt, with the length of that prefix in tokens. It may be a draining one: that gets no requests, but others can still fetch from its cache.
-func (p *Pool) largestCacheHolder(now time.Time, request Request) (*upstreamState, int) {
+func (p *Pool) largestCacheHolder(now time.Time, request Request, cachedTokens []int) (*upstreamState, int) {
 	if !p.hasEngines || p.settings.MinFetchTokens <= 0 {
 		return nil, 0
 	}
 	var holder *upstreamState
 	most := 0
-	for id, s := range p.upstreams {
-		if s.recentFailures(now) >= 1 || s.silenceMS(now) > 0 {
-			continue
-		}
-		if cached := p.cacheIndex.CachedTokens(id, request.Prompt); cached > most {
-			holder = s
-			most = cached
+	before, after := p.fromRandomPosition(request)
+	for _, part := range [][]*upstreamState{after, before} {
+		for _, s := range part {
+			if cached := cachedTokens[s.cacheSlot]; cached > most && s.recentFailures(now) < 1 && s.silenceMS(now) <= 0 {
+				holder = s
+				most = cached
+			}
 		}
 	}
 	return holder, most
--- a/lib/hwplace/seen.go
+++ b/lib/hwplace/seen.go
@@ -70,7 +70,7 @@
 
 // currentLoad estimates the requests at an upstream and the prompt tokens that it has yet to prefill. Peers' reports lag by a datagram and miss what was lost on the way, so the upstream's own report takes precedence where it is higher.
 func (p *Pool) currentLoad(now time.Time, s *upstreamState) (requests int, tokens float64) {
-	peers := p.peerLoad(s)
+	peers := s.peers.load
 	requests, tokens = s.running+peers.Running, s.pendingTokens+peers.PendingTokens
 	reported, waiting, tokensSince := s.reportedLoadAt(now)
 	return max(requests, int(reported)), max(tokens, waiting*p.meanPrefillTokens+tokensSince)
--- a/lib/hwprompt/index.go
+++ b/lib/hwprompt/index.go
@@ -100,6 +100,9 @@
 
 // cache is the estimated content of one upstream's prefix cache.
 type cache struct {
+	index *CacheIndex
+	// slot is the cache's position in the index.
+	slot int
 	// recency has the most recently used segment at its front.
 	recency *list.List
 	// segments is keyed by prefix hash, or by content hash for segments that the engine itself has listed.
@@ -111,12 +114,21 @@
 // CacheIndex estimates the content of each upstream's prefix cache from the prompts sent to it, assuming LRU eviction.
 type CacheIndex struct {
 	caches map[string]*cache
+	// holders is keyed like the segments of the caches.
+	holders map[uint64]holders
+	// slotCount is the number of slots that were ever in use, freeSlots those that are no longer.
+	slotCount int
+	freeSlots []int
+	// tokens, prefix and having are buffers of CachedTokensBySlot.
+	tokens         []int
+	prefix, having slotSet
 }
 
 // NewCacheIndex returns an index without upstreams.
 func NewCacheIndex() *CacheIndex {
 	return &CacheIndex{
-		caches: map[string]*cache{},
+		caches:  map[string]*cache{},
+		holders: map[uint64]holders{},
 	}
 }
 
@@ -156,6 +168,8 @@
 	c := x.caches[upstream]
 	if c == nil {
 		c = &cache{
+			index:    x,
+			slot:     x.takeSlot(),
 			recency:  list.New(),
 			segments: map[uint64]*list.Element{},
 		}
@@ -164,6 +178,17 @@
 	return c
 }
 
+// takeSlot returns a slot that is not in use.
+func (x *CacheIndex) takeSlot() int {
+	if last := len(x.freeSlots) - 1; last >= 0 {
+		slot := x.freeSlots[last]
+		x.freeSlots = x.freeSlots[:last]
+		return slot
+	}
+	x.slotCount++
+	return x.slotCount - 1
+}
+
 // add makes a segment the most recently used one, and evicts the least recently used ones beyond the capacity in tokens.
 func (c *cache) add(hash uint64, tokens, capacity int) {
 	if element, found := c.segments[hash]; found {
@@ -174,6 +199,7 @@
 		hash:   hash,
 		tokens: tokens,
 	})
+	c.index.addHolder(hash, c.slot)
 	c.tokens += tokens
 	for c.tokens > capacity && c.recency.Len() > 1 {
 		c.remove(c.recency.Back().Value.(cachedSegment).hash)
@@ -186,6 +212,7 @@
 		return
 	}
 	delete(c.segments, hash)
+	c.index.removeHolder(hash, c.slot)
 	c.tokens -= c.recency.Remove(element).(cachedSegment).tokens
 }
 
@@ -213,7 +240,17 @@
 }
 
 // RemoveUpstream clears the entries of an upstream that is gone or has restarted with an empty cache.
-func (x *CacheIndex) RemoveUpstream(upstream string) { delete(x.caches, upstream) }
+func (x *CacheIndex) RemoveUpstream(upstream string) {
+	c := x.caches[upstream]
+	if c == nil {
+		return
+	}
+	for hash := range c.segments {
+		x.removeHolder(hash, c.slot)
+	}
+	x.freeSlots = append(x.freeSlots, c.slot)
+	delete(x.caches, upstream)
+}
 
 // HashUpstreamID returns the hash of an upstream's id.
 func HashUpstreamID(upstream string) uint64 { return xxhash.Sum64String(upstream) }
