Updates of peers are decoded into memory of the right size

Cause: each load that a peer reports was appended to a slice in a map, with a map assignment each and a slice that grew eight times. Change: loads, observations and prefills get their memory at once, in the encoder the columns of the loads too.

--- a/lib/hwfleet/datagram.go
+++ b/lib/hwfleet/datagram.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwadmit"
@@ -41,6 +42,7 @@
 	}
 	for name, loads := range update.Loads {
 		columns := pool(name)
+		columns.Upstreams, columns.Tokens, columns.Running = make([]uint32, 0, len(loads)), make([]uint32, 0, len(loads)), make([]uint32, 0, len(loads))
 		for _, l := range loads {
 			columns.Upstreams = append(columns.Upstreams, uint32(l.Upstream))
 			columns.Tokens = append(columns.Tokens, uint32(l.PendingTokens))
@@ -103,16 +105,22 @@
 	}
 	for _, pool := range datagram.GetPools() {
 		name, upstreams, tokens, running := pool.GetPool(), pool.GetUpstreams(), pool.GetTokens(), pool.GetRunning()
-		for i := range min(len(upstreams), len(tokens), len(running)) {
-			update.Loads[name] = append(update.Loads[name], hwplace.PeerLoad{
-				Upstream:      hwplace.IDHash(upstreams[i]),
-				PendingTokens: float64(tokens[i]),
-				Running:       int(running[i]),
-			})
+		if count := min(len(upstreams), len(tokens), len(running)); count > 0 {
+			loads := slices.Grow(update.Loads[name], count)
+			for i := range count {
+				loads = append(loads, hwplace.PeerLoad{
+					Upstream:      hwplace.IDHash(upstreams[i]),
+					PendingTokens: float64(tokens[i]),
+					Running:       int(running[i]),
+				})
+			}
+			update.Loads[name] = loads
 		}
 		update.Observations[name] = decodeObservations(pool)
 		readers, chains, lengths := pool.GetReaders(), pool.GetChains(), pool.GetLengths()
-		for i := range min(len(readers), len(chains), len(lengths)) {
+		prefills := min(len(readers), len(chains), len(lengths))
+		update.Prefills = slices.Grow(update.Prefills, prefills)
+		for i := range prefills {
 			update.Prefills = append(update.Prefills, hwforward.Prefill{
 				Pool:     name,
 				Upstream: hwplace.IDHash(readers[i]),
@@ -150,9 +158,11 @@
 
 // decodeObservations returns what a peer observed of a pool's upstreams.
 func decodeObservations(pool *hwpeerpb.PoolNews) []hwplace.Observation {
-	var observations []hwplace.Observation
 	upstreams, running, waiting, ages := pool.GetSeen(), pool.GetSeenRunning(), pool.GetSeenWaiting(), pool.GetSeenAges()
-	for i := range min(len(upstreams), len(running), len(waiting), len(ages)) {
+	unreachable, unreachableAges := pool.GetUnreachable(), pool.GetUnreachableAges()
+	seenCount, unreachableCount := min(len(upstreams), len(running), len(waiting), len(ages)), min(len(unreachable), len(unreachableAges))
+	observations := slices.Grow([]hwplace.Observation(nil), seenCount+unreachableCount)
+	for i := range seenCount {
 		observations = append(observations, hwplace.Observation{
 			Upstream: hwplace.IDHash(upstreams[i]),
 			Running:  boundedCount(running[i]),
@@ -160,8 +170,7 @@
 			Age:      time.Duration(ages[i]) * time.Millisecond,
 		})
 	}
-	unreachable, unreachableAges := pool.GetUnreachable(), pool.GetUnreachableAges()
-	for i := range min(len(unreachable), len(unreachableAges)) {
+	for i := range unreachableCount {
 		observations = append(observations, hwplace.Observation{
 			Upstream:    hwplace.IDHash(unreachable[i]),
 			Unreachable: true,
