--- a/lib/hwplace/evacuations.go
+++ b/lib/hwplace/evacuations.go
@@ -125,7 +125,7 @@
 // EvacuatedUpstreams returns the number of upstreams in evacuated zones, without those that leave anyway.
 func (p *Pool) EvacuatedUpstreams(now time.Time) int {
 	count := 0
-	for _, s := range p.upstreams {
+	for _, s := range p.ordered {
 		if p.isEvacuated(s) && !s.isLeaving(now) {
 			count++
 		}
--- a/lib/hwplace/notices.go
+++ b/lib/hwplace/notices.go
@@ -207,7 +207,7 @@
 
 // Unavailable counts the upstreams that leave and those that pause, for metrics.
 func (p *Pool) Unavailable(now time.Time) (leaving, pausing int) {
-	for _, s := range p.upstreams {
+	for _, s := range p.ordered {
 		switch {
 		case s.isLeaving(now):
 			leaving++
@@ -221,7 +221,7 @@
 // ActiveUpstreams returns the number of upstreams that neither leave nor pause, and whose zones are not evacuated.
 func (p *Pool) ActiveUpstreams(now time.Time) int {
 	active := 0
-	for _, s := range p.upstreams {
+	for _, s := range p.ordered {
 		if !s.isLeaving(now) && !s.notice.isPausing(now) && !p.isEvacuated(s) {
 			active++
 		}
@@ -232,7 +232,7 @@
 // EarliestReturn returns when the first of the upstreams takes requests again that pause, have just paused or whose zones have just been restored, or false if there is none.
 func (p *Pool) EarliestReturn(now time.Time) (time.Time, bool) {
 	var earliest time.Time
-	for _, s := range p.upstreams {
+	for _, s := range p.ordered {
 		if s.isLeaving(now) || p.isEvacuated(s) || p.allowedRequests(now, s) == maxRequests {
 			continue
 		}
