Cold upstreams get a limited rate from the whole fleet

Cause: a cold upstream got more requests in a second than it can take, because each router on its own sent to it as to a warm one. Change: lib/hwquota divides the rate of a cold upstream among the routers by rendezvous hash; hwplace leaves out cold upstreams without a permit, and the check before a write withholds.

--- a/lib/hwfleet/ask.go
+++ b/lib/hwfleet/ask.go
@@ -255,6 +255,7 @@
 			Started: u.Incarnation,
 			Leaving: u.Draining,
 			Version: uint32(u.ModelVersion),
+			Cold:    u.Cold,
 		})
 	}
 	bytes, err := proto.Marshal(message)
@@ -292,6 +293,7 @@
 			Incarnation:  u.GetStarted(),
 			Draining:     u.GetLeaving(),
 			ModelVersion: int(u.GetVersion()),
+			Cold:         u.GetCold(),
 		})
 	}
 	return list, nil
--- a/lib/hwfollow/shared.go
+++ b/lib/hwfollow/shared.go
@@ -188,6 +188,9 @@
 		if u.Draining {
 			b = append(b, 1)
 		}
+		if u.Cold {
+			b = append(b, 2)
+		}
 		sum += xxhash.Sum64(b)
 	}
 	return sum
--- a/lib/hwforward/cachelist.go
+++ b/lib/hwforward/cachelist.go
@@ -26,6 +26,10 @@
 	}
 	r.cachesListed[pool] = true
 	for _, u := range upstreams {
+		// A query counts as a request, and the cache of a cold engine has just been emptied.
+		if p.IsCold(r.clock.Now(), u.ID) {
+			continue
+		}
 		r.cacheLists.start(context.Background(), func(ctx context.Context) error {
 			r.listCache(ctx, pool, u)
 			return nil
@@ -35,7 +39,7 @@
 
 // listCache asks one engine what it has cached. Without an answer the router learns it from the prompts that it sends.
 func (r *Router) listCache(ctx context.Context, pool string, u hwplace.Upstream) {
-	segments, err := r.queryCache(ctx, u.Address)
+	segments, err := r.queryCache(ctx, pool, u)
 	if err != nil {
 		r.logger.Emit(hwevent.CacheNotListed, hwevent.With("upstream", u.ID), hwevent.With("pool", pool), hwevent.With("cause", err.Error()))
 		return
@@ -51,15 +55,17 @@
 	}
 }
 
-func (r *Router) queryCache(ctx context.Context, address string) ([]hwprompt.CachedSegment, error) {
+func (r *Router) queryCache(ctx context.Context, pool string, u hwplace.Upstream) ([]hwprompt.CachedSegment, error) {
 	ctx, cancel := context.WithTimeout(ctx, cacheListTimeout)
 	defer cancel()
 	response, exchangeErr := r.transport.Do(ctx, r.clock.Now(), &hwlink.Request{
-		Address: address,
+		Address: u.Address,
 		Method:  http.MethodGet,
 		Target:  r.cacheLister.CacheListTarget(),
-		Host:    address,
+		Host:    u.Address,
 		Header:  http.Header{},
+		// The engine may have become cold while the connection was opened.
+		Withhold: func() bool { return r.isUpstreamCold(pool, u.ID) },
 	})
 	if exchangeErr != nil {
 		return nil, exchangeErr
--- a/lib/hwforward/call.go
+++ b/lib/hwforward/call.go
@@ -57,6 +57,8 @@
 	// Pause is for how long the upstream wants no requests of this router, or 0. UnusablePause reports that it states a time that can't be read.
 	Pause         time.Duration
 	UnusablePause bool
+	// ColdFor is how much longer the upstream is cold by its own word, or 0.
+	ColdFor time.Duration
 }
 
 // Protocol translates between the headers of clients and upstreams and the router's types.
--- a/lib/hwforward/metrics.go
+++ b/lib/hwforward/metrics.go
@@ -27,6 +27,8 @@
 	retries       *atomic.Int64
 	// crashes counts the crashes of upstreams at which this router had requests in flight.
 	crashes *atomic.Int64
+	// coldRefusals counts the requests that were refused because only cold upstreams without a permit were left.
+	coldRefusals *atomic.Int64
 	// waitEstimates compares the estimated with the observed queue waits at engines, grouped by the estimate.
 	waitEstimates *[len(waitEstimateBoundsMS) + 1]waitEstimateSum
 }
@@ -72,6 +74,7 @@
 		estimatedWait: histogram(),
 		retries:       &atomic.Int64{},
 		crashes:       &atomic.Int64{},
+		coldRefusals:  &atomic.Int64{},
 
 		waitEstimates: &[len(waitEstimateBoundsMS) + 1]waitEstimateSum{},
 	}
@@ -141,11 +144,13 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	_, _ = fmt.Fprintf(w, "hickorywick_quarantined_segments %d\n", r.segments.QuarantinedCount())
+	r.writeColdMetrics(w)
 	for _, name := range slices.Sorted(maps.Keys(r.pools)) {
 		tokensPerMS, requestMS := r.pools[name].LearnedRates()
 		leaving, pausing := r.pools[name].Unavailable(now)
 		_, _ = fmt.Fprintf(w, "hickorywick_pool_upstreams_leaving{pool=%q} %d\n", name, leaving)
 		_, _ = fmt.Fprintf(w, "hickorywick_pool_upstreams_pausing{pool=%q} %d\n", name, pausing)
+		_, _ = fmt.Fprintf(w, "hickorywick_pool_upstreams_cold{pool=%q} %d\n", name, r.pools[name].ColdUpstreams(now))
 		_, _ = fmt.Fprintf(w, "hickorywick_pool_upstreams{pool=%q} %d\n", name, r.pools[name].ActiveUpstreams(now))
 		_, _ = fmt.Fprintf(w, "hickorywick_pool_tokens_per_millisecond{pool=%q} %.1f\n", name, tokensPerMS)
 		_, _ = fmt.Fprintf(w, "hickorywick_pool_request_milliseconds{pool=%q} %.1f\n", name, requestMS)
--- a/lib/hwforward/news.go
+++ b/lib/hwforward/news.go
@@ -65,6 +65,7 @@
 	}
 	update.Prefills, r.pendingUpdate.Prefills = splitAt(r.pendingUpdate.Prefills, maxPrefillsPerUpdate)
 	update.SegmentReports = r.takeSegmentReports(now)
+	r.cold.Observe(now)
 	update.Leaving = r.notices.LeavingToShare(now, maxLeavingPerUpdate)
 	return update
 }
@@ -95,6 +96,7 @@
 			p.RecordCachedSegment(prefill.Upstream, prefill.Prefix)
 		}
 	}
+	r.cold.RecordPeer(now, peer)
 	r.mergeSegmentReports(now, peer, update.SegmentReports)
 	r.applyPeerLeaving(now, update.Leaving)
 }
--- a/lib/hwforward/notices.go
+++ b/lib/hwforward/notices.go
@@ -31,6 +31,10 @@
 	if info.Pause > 0 && p.RecordPause(now, upstream, info.Pause) {
 		r.logger.Emit(hwevent.UpstreamPausing, hwevent.With("upstream", upstream.ID), hwevent.With("pool", pool), hwevent.With("pause-ms", info.Pause.Milliseconds()))
 	}
+	if info.ColdFor > 0 {
+		p.RecordCold(now, upstream, info.ColdFor)
+		r.updateCold(now, pool, p, true)
+	}
 	if info.UnusablePause && p.RecordUnusablePause(now, upstream) {
 		r.logger.Emit(hwevent.UpstreamPauseUnusable, hwevent.With("upstream", upstream.ID), hwevent.With("pool", pool))
 	}
@@ -41,14 +45,14 @@
 	r.logger.Emit(hwevent.UpstreamLeaving, hwevent.With("upstream", upstream), hwevent.With("pool", pool), hwevent.With("source", source))
 }
 
-// isUpstreamUnavailable reports whether the chosen upstream has announced since the choice that it leaves or pauses.
+// isUpstreamUnavailable reports whether the chosen upstream has announced since the choice that it leaves or pauses, or has become cold and this router may not send to it now.
 func (e *exchange) isUpstreamUnavailable() bool {
 	r := e.router
 	now := r.clock.Now()
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	p := r.pools[e.pool]
-	return p != nil && !p.IsAvailable(now, e.choice.Upstream)
+	return p != nil && (!p.IsAvailable(now, e.choice.Upstream) || !p.MayWrite(now, e.inFlight))
 }
 
 // endWithheldAttempt ends an attempt of which nothing was sent because the upstream became unavailable. The request goes through admission again.
@@ -63,6 +67,9 @@
 
 // refuseWithoutUpstream refuses a request for which no upstream is eligible. If upstreams pause, the caller returns after the first of them takes requests again. The lock must be held.
 func (e *exchange) refuseWithoutUpstream(now time.Time, pool *hwplace.Pool) *hwerror.RequestError {
+	if refusal := e.refuseWithoutPermit(now, pool); refusal != nil {
+		return refusal
+	}
 	earliest, pausing := pool.EarliestReturn(now)
 	if !pausing {
 		return newRefusal(hwerror.KindNoUpstream, "the pool has no upstream").WithRetryAfter(noUpstreamRetryAfter)
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -18,6 +18,8 @@
 // Settings are the limits, timeouts and weights of a Router.
 type Settings struct {
 	Placement hwplace.Settings
+	// Cold configures the limit on the requests to cold upstreams.
+	Cold      hwplace.ColdSettings
 	Admission hwadmit.Settings
 	// ShareWindow is the averaging window of the accounts' rates.
 	ShareWindow time.Duration
@@ -104,6 +106,8 @@
 	returnSchedules map[string]*hwadmit.ReturnSchedule
 	// notices are what upstreams have said of themselves in answers.
 	notices *hwplace.Notices
+	// cold limits the requests to cold upstreams; nil if the limit is off.
+	cold *hwplace.ColdUpstreams
 	// upstreams is the current list of upstreams by pool.
 	upstreams map[string][]hwplace.Upstream
 	// cachesListed contains the pools whose engines were asked for the contents of their caches.
@@ -145,6 +149,7 @@
 		shares:          hwadmit.NewFairShares(settings.ShareWindow),
 		returnSchedules: map[string]*hwadmit.ReturnSchedule{},
 		notices:         hwplace.NewNotices(),
+		cold:            hwplace.NewColdUpstreams(settings.Cold, settings.Instance, dependencies.Clock.Now()),
 		pendingChecks:   map[string]chan struct{}{},
 		segments:        hwquarantine.NewSegmentTracker(settings.Segments),
 		exposures: hwquarantine.NewExposures[hwplace.Lifetime](hwquarantine.ExposureSettings{
@@ -177,7 +182,9 @@
 		if config, found := table.Pool(name); found && p.HasEngines() != (config.Engine != nil) {
 			delete(r.pools, name)
 			delete(r.cachesListed, name)
+			continue
 		}
+		r.setColdLimit(now, name, p)
 	}
 	for name, list := range r.upstreams {
 		r.updatePool(now, name, list)
@@ -240,11 +247,12 @@
 
 // updatePool sets the upstreams of a pool and logs the changes. The lock must be held.
 func (r *Router) updatePool(now time.Time, name string, list []hwplace.Upstream) {
-	p := r.pool(name)
+	p := r.pool(now, name)
 	if p == nil {
 		return
 	}
 	added, removed, draining := p.SetUpstreams(list)
+	r.updateCold(now, name, p, len(r.upstreams) > 0)
 	r.listCaches(name, p, list)
 	for _, id := range added {
 		r.logger.Emit(hwevent.UpstreamListed, hwevent.With("upstream", id), hwevent.With("pool", name))
@@ -263,7 +271,7 @@
 }
 
 // pool returns the state of a pool, which it creates on first use, or nil if the active table does not define the pool. The lock must be held.
-func (r *Router) pool(name string) *hwplace.Pool {
+func (r *Router) pool(now time.Time, name string) *hwplace.Pool {
 	if p := r.pools[name]; p != nil {
 		return p
 	}
@@ -281,6 +289,7 @@
 	}
 	p := hwplace.New(r.settings.Placement, r.notices, cacheTokens)
 	p.SetUpstreams(r.upstreams[name])
+	r.setColdLimit(now, name, p)
 	r.pools[name] = p
 	return p
 }
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -131,7 +131,7 @@
 	now := r.clock.Now()
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	pool := r.pool(e.pool)
+	pool := r.pool(now, e.pool)
 	if pool == nil {
 		return newRefusal(hwerror.KindNoUpstream, "the route's pool is not known").WithRetryAfter(noUpstreamRetryAfter)
 	}
--- a/lib/hwplace/member.go
+++ b/lib/hwplace/member.go
@@ -33,6 +33,8 @@
 	unreachableAt   time.Time
 	// notice is what the upstream has said of itself, or nil.
 	notice *notice
+	// cold is what is known of whether the upstream is cold, or nil.
+	cold *coldState
 }
 
 const (
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwprompt"
+	"github.com/hickorywick/hickorywick/lib/hwquota"
 )
 
 // Upstream is one replica as its entry in the list of upstreams describes it.
@@ -25,6 +26,8 @@
 	Draining bool
 	// ModelVersion is the version of the model's weights, or 0.
 	ModelVersion int
+	// Cold means that by its registration the upstream is still cold.
+	Cold bool
 }
 
 // Settings are the weights of the choice of an upstream. Scores are in milliseconds.
@@ -121,6 +124,8 @@
 	progressed   bool
 	finished     bool
 	plainService bool
+	// permit is the permit that the request took if the upstream was cold.
+	permit hwquota.Permit
 }
 
 // Pool holds the upstreams of one pool with the router's estimates of their load, caches and health. It is not safe for concurrent use.
@@ -146,6 +151,8 @@
 	meanPrefillTokens float64
 	// meanRequestMS is the moving average of the time of a plain service's request.
 	meanRequestMS float64
+	// cold limits the requests to cold upstreams.
+	cold poolCold
 }
 
 // peerReport is the newest load report of another router.
@@ -305,7 +312,7 @@
 	holder, cached := p.largestCacheHolder(now, request)
 	affinity := p.affinityUpstream(now, request.Prompt)
 	for id, s := range p.upstreams {
-		if !s.takesRequests(now) || slices.Contains(request.Excluded, id) {
+		if !s.takesRequests(now) || slices.Contains(request.Excluded, id) || !p.hasPermit(now, s) {
 			continue
 		}
 		choice, score := p.evaluate(now, s, request, holder, cached)
--- a/lib/hwplace/ticket.go
+++ b/lib/hwplace/ticket.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Start records that a request is sent to the chosen upstream.
+// Start records that a request is sent to the chosen upstream. It takes the permit if the upstream is cold.
 func (p *Pool) Start(now time.Time, choice Choice, request Request) *InFlightRequest {
 	inFlight := &InFlightRequest{
 		Upstream:      choice.Upstream.ID,
@@ -14,6 +14,7 @@
 	if s == nil {
 		return inFlight
 	}
+	inFlight.permit = p.takePermit(now, s)
 	_, inFlight.tokensAhead = p.currentLoad(now, s)
 	if s.unanswered == 0 {
 		s.unansweredSince = now
--- /dev/null
+++ b/lib/hwquota/view.go
@@ -0,0 +1,187 @@
+package hwquota
+
+import (
+	"encoding/binary"
+	"maps"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// silenceTimeout is how long a peer may be silent before its shares pass to others.
+	silenceTimeout = 5 * time.Second
+	// forgetTimeout is how long a silent peer still counts as part of the fleet. Without it, partitions that follow each other within seconds would leave a majority of a majority on several sides, each with owners of its own.
+	forgetTimeout = time.Minute
+	// startGrace is how long after its start a router owns nothing, because it has not heard all peers yet.
+	startGrace = 2 * time.Second
+	// For learnTime after its start, a router also owns nothing until learnQuiet after it heard another peer for the first time: where datagrams are lost, more of them are still unheard.
+	learnTime  = 5 * time.Second
+	learnQuiet = time.Second
+	// maxObserveGap is the time without any observation after which the process counts as having been paused. Routers send and receive several datagrams a second.
+	maxObserveGap = time.Second
+	// settleInterval limits how often the silent peers are looked for, at a cost that grows with the fleet.
+	settleInterval = 100 * time.Millisecond
+	// maxPeers limits the memory for names in datagrams, some 100 bytes each: ten times the largest fleet.
+	maxPeers = 4096
+)
+
+// ViewSettings describe the router that has a view.
+type ViewSettings struct {
+	// Router is the router's own name, and StartedAt when its process started.
+	Router    string
+	StartedAt time.Time
+	// ExpectsPeers means that the router knows of other routers from its settings.
+	ExpectsPeers bool
+}
+
+// member is a router of the fleet.
+type member struct {
+	hash    uint64
+	heardAt time.Time
+	// absent is set while others own the shares of the silent member.
+	absent bool
+}
+
+// View is one router's view of the routers of its fleet, from when it heard them. It is not safe for concurrent use.
+type View struct {
+	settings ViewSettings
+	hash     uint64
+	// peers are all routers known, keyed by name, without this one.
+	peers map[string]*member
+	// version rises with each change of the membership.
+	version uint64
+	// observedAt is the time of the last call, and resumedAt when the process was last found to have been paused, or started.
+	observedAt time.Time
+	resumedAt  time.Time
+	settledAt  time.Time
+	// learnedAt is when a peer was heard for the first time within learnTime.
+	learnedAt time.Time
+}
+
+// NewView returns the view of a router that has heard nobody.
+func NewView(settings ViewSettings) *View {
+	return &View{
+		settings:   settings,
+		hash:       xxhash.Sum64String(settings.Router),
+		peers:      map[string]*member{},
+		observedAt: settings.StartedAt,
+		resumedAt:  settings.StartedAt,
+	}
+}
+
+// RecordHeard records that a peer was heard.
+func (v *View) RecordHeard(now time.Time, peer string) {
+	v.Observe(now)
+	if peer == v.settings.Router {
+		return
+	}
+	m := v.peers[peer]
+	if m == nil {
+		if len(v.peers) >= maxPeers {
+			return
+		}
+		m = &member{
+			hash: xxhash.Sum64String(peer),
+		}
+		v.peers[peer] = m
+		v.version++
+		if now.Sub(v.settings.StartedAt) < learnTime {
+			v.learnedAt = now
+		}
+	}
+	m.heardAt = now
+	if m.absent {
+		m.absent = false
+		v.version++
+	}
+}
+
+// Observe notes that the process runs. It must be called several times a second, because a longer gap counts as a pause, in which peers could not be heard.
+func (v *View) Observe(now time.Time) {
+	if now.Sub(v.observedAt) > maxObserveGap {
+		v.resumedAt = now
+	}
+	if now.After(v.observedAt) {
+		v.observedAt = now
+	}
+	if now.Sub(v.settledAt) >= settleInterval {
+		v.settledAt = now
+		v.removeSilent(now)
+	}
+}
+
+// removeSilent marks the silent peers as absent and forgets the ones silent for long, but only while the router hears more than half of the routers that it knows. Otherwise it may itself be cut off, and the others would still use their shares.
+func (v *View) removeSilent(now time.Time) {
+	heard := 1
+	for _, m := range v.peers {
+		if v.silence(now, m) <= silenceTimeout {
+			heard++
+		}
+	}
+	if 2*heard <= len(v.peers)+1 {
+		return
+	}
+	for _, m := range v.peers {
+		if !m.absent && v.silence(now, m) > silenceTimeout {
+			m.absent = true
+			v.version++
+		}
+	}
+	before := len(v.peers)
+	maps.DeleteFunc(v.peers, func(_ string, m *member) bool { return m.absent && v.silence(now, m) > forgetTimeout })
+	if len(v.peers) < before {
+		v.version++
+	}
+}
+
+// silence returns for how long a peer has been silent while this router could hear.
+func (v *View) silence(now time.Time, m *member) time.Duration {
+	if m.heardAt.Before(v.resumedAt) {
+		return now.Sub(v.resumedAt)
+	}
+	return now.Sub(m.heardAt)
+}
+
+// Size returns the number of routers known, this one included, and how many of them are absent.
+func (v *View) Size() (known, absent int) {
+	for _, m := range v.peers {
+		if m.absent {
+			absent++
+		}
+	}
+	return len(v.peers) + 1, absent
+}
+
+// mayOwn reports whether the router knows the fleet well enough to own anything.
+func (v *View) mayOwn(now time.Time) bool {
+	if v.settings.ExpectsPeers && len(v.peers) == 0 {
+		return false
+	}
+	return now.Sub(v.settings.StartedAt) >= startGrace && now.Sub(v.learnedAt) >= learnQuiet
+}
+
+// ranks returns how many routers rank before this one for an upstream: of those that are present, and of all.
+func (v *View) ranks(upstream string) (present, all int) {
+	hash := xxhash.Sum64String(upstream)
+	own := score(hash, v.hash)
+	for name, m := range v.peers {
+		theirs := score(hash, m.hash)
+		if theirs < own || theirs == own && name > v.settings.Router {
+			continue
+		}
+		all++
+		if !m.absent {
+			present++
+		}
+	}
+	return present, all
+}
+
+// score returns the rendezvous score of a router for an upstream. The highest ranks first.
+func score(upstream, router uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], upstream)
+	binary.LittleEndian.PutUint64(b[8:], router)
+	return xxhash.Sum64(b[:])
+}
--- a/lib/hwtable/table.go
+++ b/lib/hwtable/table.go
@@ -50,6 +50,9 @@
 	HealthPath string
 	// MaxConnections is how many connections an upstream accepts from all routers together.
 	MaxConnections int
+	// ColdPerSecond is the number of requests a second that a cold upstream handles; 0 means no limit. ColdStart is how long an upstream is cold after it starts.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 	// Engine is nil for a plain service, whose upstreams are not inference engines.
 	Engine *Engine
 }
