--- a/lib/hwfollow/shared.go
+++ b/lib/hwfollow/shared.go
@@ -198,6 +198,9 @@
 		if u.Draining {
 			b = append(b, 1)
 		}
+		if u.Cold {
+			b = append(b, 2)
+		}
 		sum += xxhash.Sum64(b)
 	}
 	for _, zone := range evacuatedZones {
--- a/lib/hwforward/cachelist.go
+++ b/lib/hwforward/cachelist.go
@@ -38,6 +38,10 @@
 		r.cacheListsPending[pool] = append(r.cacheListsPending[pool], u)
 		return
 	}
+	// A query counts as a request, and the cache of a cold engine has just been emptied.
+	if p := r.pools[pool]; p != nil && p.IsCold(r.clock.Now(), u.ID) {
+		return
+	}
 	r.cacheLists.start(context.Background(), func(ctx context.Context) error {
 		r.listCache(ctx, pool, u)
 		return nil
@@ -46,7 +50,7 @@
 
 // listCache asks one engine what it has cached. Without an answer the router learns it from the prompts that it sends.
 func (r *Router) listCache(ctx context.Context, pool string, u hwplace.Upstream) {
-	segments, err := r.queryCache(ctx, u)
+	segments, err := r.queryCache(ctx, pool, u)
 	var withheld *hwlink.WithheldError
 	if errors.As(err, &withheld) {
 		r.lock.Lock()
@@ -69,16 +73,17 @@
 	}
 }
 
-func (r *Router) queryCache(ctx context.Context, u hwplace.Upstream) ([]hwprompt.CachedSegment, error) {
+func (r *Router) queryCache(ctx context.Context, pool string, u hwplace.Upstream) ([]hwprompt.CachedSegment, error) {
 	ctx, cancel := context.WithTimeout(ctx, cacheListTimeout)
 	defer cancel()
 	response, exchangeErr := r.transport.Do(ctx, r.clock.Now(), &hwlink.Request{
-		Address:  u.Address,
-		Method:   http.MethodGet,
-		Target:   r.cacheLister.CacheListTarget(),
-		Host:     u.Address,
-		Header:   http.Header{},
-		Withhold: func() bool { return r.isEvacuated(u) },
+		Address: u.Address,
+		Method:  http.MethodGet,
+		Target:  r.cacheLister.CacheListTarget(),
+		Host:    u.Address,
+		Header:  http.Header{},
+		// The zone may have been evacuated, or the engine become cold, while the connection was opened.
+		Withhold: func() bool { return r.isEvacuated(u) || r.isUpstreamCold(pool, u.ID) },
 	})
 	if exchangeErr != nil {
 		return nil, exchangeErr
--- a/lib/hwforward/evacuations.go
+++ b/lib/hwforward/evacuations.go
@@ -24,6 +24,10 @@
 		r.logger.Emit(hwevent.ZoneEvacuated, hwevent.With("zone", zone), hwevent.With("revision", next.Revision))
 	}
 	for _, zone := range restored {
+		// Operators may have restarted what runs there.
+		for _, p := range r.pools {
+			p.MarkZoneCold(now, zone)
+		}
 		r.logger.Emit(hwevent.ZoneRestored, hwevent.With("zone", zone), hwevent.With("revision", next.Revision))
 	}
 }
--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -25,7 +25,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwtable"
 )
 
-// testProtocol uses short headers: X-Id, X-Key, X-Left, X-Account, X-Expect, X-Signed, X-Not-Run, X-Leaving, X-Pause (in seconds), Last-Event-Id.
+// testProtocol uses short headers: X-Id, X-Key, X-Left, X-Account, X-Expect, X-Signed, X-Not-Run, X-Leaving, X-Pause (in seconds), X-Cold (in milliseconds), Last-Event-Id.
 type testProtocol struct {
 	// beforeConnect, if it holds a function, is called with the ID of the chosen upstream before a connection is taken or opened.
 	beforeConnect *atomic.Pointer[func(upstream string)]
@@ -98,11 +98,13 @@
 
 func (testProtocol) ParseResponse(_ int, h http.Header) hwforward.ResponseInfo {
 	pause, _ := strconv.Atoi(h.Get("X-Pause"))
+	cold, _ := strconv.Atoi(h.Get("X-Cold"))
 	return hwforward.ResponseInfo{
 		Signed:      h.Get("X-Signed") != "",
 		NotExecuted: h.Get("X-Not-Run") != "",
 		Leaving:     h.Get("X-Leaving") != "",
 		Pause:       time.Duration(pause) * time.Second,
+		ColdFor:     time.Duration(cold) * time.Millisecond,
 	}
 }
 
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwprompt"
+	"github.com/hickorywick/hickorywick/lib/hwquota"
 )
 
 // Upstream is one replica as its entry in the list of upstreams describes it.
@@ -25,6 +26,8 @@
 	Draining bool
 	// ModelVersion is the version of the model's weights, or 0.
 	ModelVersion int
+	// Cold means that by its registration the upstream is still cold.
+	Cold bool
 }
 
 // Settings are the weights of the choice of an upstream. Scores are in milliseconds.
@@ -121,6 +124,8 @@
 	progressed   bool
 	finished     bool
 	plainService bool
+	// permit is the permit that the request took if the upstream was cold.
+	permit hwquota.Permit
 }
 
 // Pool holds the upstreams of one pool with the router's estimates of their load, caches and health. It is not safe for concurrent use.
@@ -153,6 +158,8 @@
 	meanPrefillTokens float64
 	// meanRequestMS is the moving average of the time of a plain service's request.
 	meanRequestMS float64
+	// cold limits the requests to cold upstreams.
+	cold poolCold
 }
 
 // New returns a pool without upstreams. Notices are what all upstreams have said of themselves, evacuations the zones that the operators evacuate; pools share both. CacheTokens is the size of an engine's KV cache in tokens, or 0 for a plain service.
@@ -271,7 +278,7 @@
 	before, after := p.fromRandomPosition(request)
 	for _, part := range [][]*upstreamState{after, before} {
 		for _, s := range part {
-			if !p.takesRequests(now, s) || slices.Contains(request.Excluded, s.upstream.ID) {
+			if !p.takesRequests(now, s) || slices.Contains(request.Excluded, s.upstream.ID) || !p.hasPermit(now, s) {
 				continue
 			}
 			e := p.evaluate(now, s, request, cachedTokens, holder, held)
