Small routers shed load and leave rotation

Cause: a router with 0.144 of a core to which the platform hashes a client with 600 requests a second relays events seconds late, while other routers of its zone are idle.

Datagrams carry zone, rotation and overload.

--- a/lib/hwerror/refusal.go
+++ b/lib/hwerror/refusal.go
@@ -36,6 +36,7 @@
 	KindNoUpstream           Kind = "no-upstream"
 	KindNotReady             Kind = "not-ready"
 	KindShuttingDown         Kind = "shutting-down"
+	KindOverloaded           Kind = "overloaded"
 	KindStoreUnavailable     Kind = "store-unavailable"
 	KindUpstreamFailed       Kind = "upstream-failed"
 	KindUpstreamTimeout      Kind = "upstream-timeout"
@@ -64,6 +65,7 @@
 	KindNoUpstream:           http.StatusServiceUnavailable,
 	KindNotReady:             http.StatusServiceUnavailable,
 	KindShuttingDown:         http.StatusServiceUnavailable,
+	KindOverloaded:           http.StatusServiceUnavailable,
 	KindStoreUnavailable:     http.StatusServiceUnavailable,
 	KindUpstreamFailed:       http.StatusBadGateway,
 	KindUpstreamTimeout:      http.StatusGatewayTimeout,
--- a/lib/hwfleet/datagram.go
+++ b/lib/hwfleet/datagram.go
@@ -28,7 +28,11 @@
 
 // encodeUpdate encodes an update as a datagram. The sender is still missing; completeUpdate adds it.
 func encodeUpdate(now time.Time, update hwforward.PeerUpdate) *hwpeerpb.Datagram {
-	datagram := &hwpeerpb.Datagram{}
+	datagram := &hwpeerpb.Datagram{
+		Zone:          update.Zone,
+		OutOfRotation: update.OutOfRotation,
+		Overloaded:    update.Overloaded,
+	}
 	pools := map[string]*hwpeerpb.PoolNews{}
 	pool := func(name string) *hwpeerpb.PoolNews {
 		if pools[name] == nil {
@@ -98,8 +102,11 @@
 // decodeUpdate decodes the update in a datagram. Columns of unequal length, which no router sends, are cut to the shortest of them.
 func decodeUpdate(now time.Time, datagram *hwpeerpb.Datagram) hwforward.PeerUpdate {
 	update := hwforward.PeerUpdate{
-		Loads:        map[string][]hwplace.PeerLoad{},
-		Observations: map[string][]hwplace.Observation{},
+		Zone:          datagram.GetZone(),
+		OutOfRotation: datagram.GetOutOfRotation(),
+		Overloaded:    datagram.GetOverloaded(),
+		Loads:         map[string][]hwplace.PeerLoad{},
+		Observations:  map[string][]hwplace.Observation{},
 	}
 	for _, pool := range datagram.GetPools() {
 		name, upstreams, tokens, running := pool.GetPool(), pool.GetUpstreams(), pool.GetTokens(), pool.GetRunning()
--- a/lib/hwforward/news.go
+++ b/lib/hwforward/news.go
@@ -29,6 +29,10 @@
 	SegmentReports []hwquarantine.SegmentReport
 	// Leaving are the upstreams that have told this router lately that they leave.
 	Leaving []hwplace.LifetimeHash
+	// Zone is the router's zone, or empty if it states none. OutOfRotation is whether it is out of rotation for load, Overloaded whether it has no room for the requests that others shed.
+	Zone          string
+	OutOfRotation bool
+	Overloaded    bool
 }
 
 // Limits on the contents of one update.
@@ -66,6 +70,7 @@
 	update.Prefills, r.pendingUpdate.Prefills = splitAt(r.pendingUpdate.Prefills, maxPrefillsPerUpdate)
 	update.SegmentReports = r.takeSegmentReports(now)
 	update.Leaving = r.notices.LeavingToShare(now, maxLeavingPerUpdate)
+	r.shedding.addState(&update)
 	return update
 }
 
@@ -79,6 +84,7 @@
 
 // ApplyPeerUpdate merges an update from a peer.
 func (r *Router) ApplyPeerUpdate(now time.Time, peer string, update PeerUpdate) {
+	r.shedding.setPeer(now, peer, update)
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if update.AccountUsage != nil {
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -47,6 +47,8 @@
 	SettleTime time.Duration
 	// Instance is the name under which the peers know this router.
 	Instance string
+	// LoadShedding configures the shedding of requests that this router has no processor time for.
+	LoadShedding LoadSheddingSettings
 }
 
 // Clock provides the time. Unlike the monotonic clock behind Now, BootTime also counts the time during which the machine was suspended.
@@ -60,10 +62,12 @@
 	Protocol Protocol
 	// CacheLister is nil if engines can't be asked for the contents of their caches.
 	CacheLister CacheLister
-	Transport   *hwlink.Transport
-	Logger      *hwevent.Logger
-	Clock       Clock
-	Random      rand.Source
+	// KeyReader is nil if load is not shed.
+	KeyReader KeyReader
+	Transport *hwlink.Transport
+	Logger    *hwevent.Logger
+	Clock     Clock
+	Random    rand.Source
 }
 
 // tableConfirmation is the last time at which the active table was known to be the newest, on both clocks.
@@ -81,6 +85,7 @@
 	logger      *hwevent.Logger
 	clock       Clock
 	metrics     Metrics
+	shedding    *loadShedding
 	crashChecks backgroundTasks
 	cacheLists  backgroundTasks
 	// closing is closed when the router ends.
@@ -161,6 +166,7 @@
 		cachesListed:   map[string]bool{},
 		metrics:        newMetrics(),
 		closing:        make(chan struct{}),
+		shedding:       newLoadShedding(settings, dependencies),
 	}
 }
 
@@ -301,7 +307,7 @@
 
 // Ready reports whether the router can serve clients.
 func (r *Router) Ready(now time.Time) bool {
-	if r.drainingSince.Load() != nil || r.cutOff.Load() || r.table.Load() == nil || !r.confirmedWithin(now, r.settings.KeyMaxStaleness) {
+	if r.drainingSince.Load() != nil || r.cutOff.Load() || r.shedding.outOfRotation.Load() || r.table.Load() == nil || !r.confirmedWithin(now, r.settings.KeyMaxStaleness) {
 		return false
 	}
 	r.lock.Lock()
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -84,6 +84,9 @@
 func (r *Router) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
+	if r.shed(w, request) {
+		return
+	}
 	now := r.clock.Now()
 	e := &exchange{
 		router:     r,
@@ -95,7 +98,7 @@
 	}
 	defer e.releaseMemory()
 	r.metrics.requests.Add(1)
-	if r.drainingSince.Load() != nil || r.cutOff.Load() {
+	if r.drainingSince.Load() != nil || r.cutOff.Load() || r.shedding.current.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	table := r.table.Load()
