--- a/lib/hwfleet/fleet_test.go
+++ b/lib/hwfleet/fleet_test.go
@@ -116,6 +116,25 @@
 	}
 }
 
+// Guards against a router that does not learn which others of its zone have room: zone, rotation and overload must arrive with the name of their sender.
+func TestLoadStateReachesPeers(t *testing.T) {
+	first, firstDelegate, seed := startRouter(t, "first", hwforward.PeerUpdate{Zone: "a", OutOfRotation: true})
+	_, secondDelegate, _ := startRouter(t, "second", hwforward.PeerUpdate{Zone: "b", Overloaded: true}, seed)
+	require.Eventually(t, func() bool {
+		_, there := secondDelegate.receivedFrom("first")
+		_, back := firstDelegate.receivedFrom("second")
+		return there && back && first.PeerCount(time.Now()) == 1
+	}, 5*time.Second, 5*time.Millisecond)
+	update, _ := secondDelegate.receivedFrom("first")
+	assert.Equal(t, "a", update.Zone)
+	assert.True(t, update.OutOfRotation)
+	assert.False(t, update.Overloaded)
+	update, _ = firstDelegate.receivedFrom("second")
+	assert.Equal(t, "b", update.Zone)
+	assert.False(t, update.OutOfRotation)
+	assert.True(t, update.Overloaded)
+}
+
 // A router that stops is removed after the peer timeout, and rejoins through the seeds when it starts again.
 func TestStoppedPeerIsRemovedAndRejoins(t *testing.T) {
 	first, _, seed := startRouter(t, "first", hwforward.PeerUpdate{})
--- a/lib/hwforward/world_test.go
+++ b/lib/hwforward/world_test.go
@@ -64,6 +64,8 @@
 	return []hwprompt.CachedSegment{{Model: "m", Segment: hwprompt.Segment{ID: 1, Tokens: tokens}}}, nil
 }
 
+func (testProtocol) APIKey(h http.Header) string { return h.Get("X-Key") }
+
 func (testProtocol) ParseRequest(r *http.Request) hwforward.RequestInfo {
 	left, _ := strconv.Atoi(r.Header.Get("X-Left"))
 	return hwforward.RequestInfo{
@@ -101,11 +103,12 @@
 }
 
 func (testProtocol) CopyResponseHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = values
-	}
+	copied := from.Clone()
 	for _, name := range hwforward.HopByHopHeaders {
-		to.Del(name)
+		copied.Del(name)
+	}
+	for name, values := range copied {
+		to[name] = values
 	}
 }
 
@@ -264,6 +267,7 @@
 	f.router = hwforward.New(chosen, hwforward.Dependencies{
 		Protocol:    testProtocol{},
 		CacheLister: testProtocol{},
+		KeyReader:   testProtocol{},
 		Transport:   f.transport,
 		Logger:      hwevent.New(f.log, hwevent.Info),
 		Clock: hwforward.Clock{
--- a/lib/hwload/controller.go
+++ b/lib/hwload/controller.go
@@ -29,12 +29,16 @@
 	// raiseRate is the rise of pressure in a second at a mean delay of twice raiseDelay, and maxRaiseRate the limit for longer delays, which reaches all requests in a fifth of a second.
 	raiseRate    = 2.0
 	maxRaiseRate = 10.0
+	// maxRaiseWeight is the longest time that a sample stands for when it raises pressure, so that the work that waited for a frozen process, which makes one more wake-up late, sheds no requests of accounts within their share.
+	maxRaiseWeight = 100 * time.Millisecond
 	// lowerRate is the fall of pressure in a second. The delay grows by the square of the time since pressure became too low; at higher rates it passes MaxDelay before pressure rises again.
 	lowerRate = 0.3
 	// maxPressure sheds all requests.
 	maxPressure = 2.0
 	// fullOverShare is the pressure at which all requests of accounts over their share are shed.
 	fullOverShare = 1.0
+	// leavePressure is the pressure from which a router that is still delayed leaves rotation: it sheds all requests. Its clients are hashed to the next router, which is overloaded in turn, so that leaving at a lower pressure delays more events than it helps; docs/design/shedding.md has the figures.
+	leavePressure = maxPressure
 )
 
 // Ratios are the parts of the requests that are shed, from 0 to 1.
@@ -47,7 +51,7 @@
 
 // Controller controls the shed ratios of a router from its scheduling delay.
 //
-// Its control variable is a pressure: up to 1 it is the shed ratio of accounts over their share, and what exceeds 1 is the shed ratio of all others. It rises with the mean delay and falls at a low, constant rate.
+// Its control variable is a pressure: up to 1 it is the shed ratio of accounts over their share, and what exceeds 1 is the shed ratio of all others. It rises with the mean delay while wake-ups are late, and falls at a low, constant rate.
 type Controller struct {
 	recordedAt time.Time
 	// mean is the mean delay in seconds.
@@ -56,8 +60,9 @@
 	// late is whether the last sample was late.
 	late       bool
 	overloaded bool
-	// overloadedSince is when the present overload began.
-	overloadedSince time.Time
+	// leaving is whether pressure is at least leavePressure, and leavingSince since when.
+	leaving      bool
+	leavingSince time.Time
 }
 
 // Record adds a sample: the delay of a wake-up that ran at the given time.
@@ -71,16 +76,19 @@
 	c.late = delay > raiseDelay
 	c.mean += (1 - math.Exp(-weight.Seconds()/averagingTime.Seconds())) * (delay.Seconds() - c.mean)
 	switch {
-	case c.mean > raiseDelay.Seconds():
+	case c.mean > raiseDelay.Seconds() && c.late:
 		rate := min(maxRaiseRate, raiseRate*(c.mean/raiseDelay.Seconds()-1))
-		c.pressure = min(maxPressure, c.pressure+rate*weight.Seconds())
+		c.pressure = min(maxPressure, c.pressure+rate*min(weight, maxRaiseWeight).Seconds())
 	case c.mean < lowerDelay.Seconds():
 		c.pressure = max(0, c.pressure-lowerRate*weight.Seconds())
 	}
+	if leaving := c.pressure >= leavePressure; leaving != c.leaving {
+		c.leaving = leaving
+		c.leavingSince = now
+	}
 	switch {
 	case !c.overloaded && (c.Mean() >= MaxDelay || c.pressure >= fullOverShare):
 		c.overloaded = true
-		c.overloadedSince = now
 	case c.overloaded && c.pressure == 0:
 		c.overloaded = false
 	}
@@ -103,7 +111,7 @@
 	}
 }
 
-// sustained reports whether the overload has lasted for the given time and the router is still delayed.
-func (c *Controller) sustained(now time.Time, duration time.Duration) bool {
-	return c.overloaded && now.Sub(c.overloadedSince) >= duration && c.mean >= lowerDelay.Seconds()
+// insufficient reports whether pressure has been at leavePressure for the given time and the router is still delayed.
+func (c *Controller) insufficient(now time.Time, duration time.Duration) bool {
+	return c.leaving && now.Sub(c.leavingSince) >= duration && c.mean >= raiseDelay.Seconds()
 }
--- a/lib/hwload/rotation.go
+++ b/lib/hwload/rotation.go
@@ -13,7 +13,7 @@
 	maxOutRatio = 0.4
 	// minPeers is the number of other routers in the zone that must be heard: of two routers, none may leave.
 	minPeers = 2
-	// leaveDelay is how long an overload lasts before the router leaves rotation. It covers the time in which peers hear of the overload, some datagrams of 220 ms in the largest fleets, and the work that waited for a frozen process.
+	// leaveDelay is how long pressure is at leavePressure before the router leaves rotation. It covers the time in which peers hear of the overload, some datagrams of 220 ms in the largest fleets, and the work that waited for a frozen process.
 	leaveDelay = time.Second
 	// minHold and maxHold bound how long the router has not been overloaded when it returns.
 	minHold = 5 * time.Second
@@ -120,8 +120,8 @@
 	hold          time.Duration
 }
 
-// decide updates the decision. The router leaves when its overload is sustained, and returns when it has not been overloaded for the hold time or too many routers of the zone are out.
-func (r *rotation) decide(now time.Time, overloaded, sustained bool, v zoneView) {
+// decide updates the decision. The router leaves when shedding is insufficient, and returns when it has not been overloaded for the hold time or too many routers of the zone are out.
+func (r *rotation) decide(now time.Time, overloaded, insufficient bool, v zoneView) {
 	if overloaded {
 		if !r.wasOverloaded && !r.out {
 			r.setHold(now)
@@ -131,7 +131,7 @@
 	r.wasOverloaded = overloaded
 	if !r.out {
 		// Peers that are overloaded too and come first in the order are left the places.
-		r.out = sustained && v.out+v.waitingBefore < v.maxOut()
+		r.out = insufficient && v.out+v.waitingBefore < v.maxOut()
 		return
 	}
 	if v.outBefore >= v.maxOut() {
--- a/lib/hwload/shedder.go
+++ b/lib/hwload/shedder.go
@@ -38,7 +38,7 @@
 	s.controller.Record(now, delay)
 	view := s.peers.view(now)
 	overloaded := s.controller.Overloaded()
-	s.rotation.decide(now, overloaded, s.controller.sustained(now, leaveDelay), view)
+	s.rotation.decide(now, overloaded, s.controller.insufficient(now, leaveDelay), view)
 	state := State{
 		Overloaded:    overloaded,
 		Shedding:      overloaded && view.room,
