--- a/lib/hwforward/shedding.go
+++ b/lib/hwforward/shedding.go
@@ -103,7 +103,7 @@
 	})
 }
 
-// RecordSchedulingDelay records how late a periodic wake-up ran, and decides about load shedding and rotation. It does nothing if load shedding is not enabled.
+// RecordSchedulingDelay records how late a periodic wake-up ran, and decides about load shedding and rotation. It does nothing if load shedding is not enabled. Only one goroutine may call it.
 func (r *Router) RecordSchedulingDelay(now time.Time, delay time.Duration) {
 	s := r.shedding
 	if !s.settings.Enabled {
--- a/lib/hwload/rotation.go
+++ b/lib/hwload/rotation.go
@@ -1,16 +1,14 @@
 package hwload
 
 import (
-	"cmp"
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// maxOutRatio bounds the routers of a zone that are out of rotation for load: fewer than this ratio may be. If more than half were out, the platform would use all.
-	maxOutRatio = 0.4
+	// maxOutPercent bounds the routers of a zone that are out of rotation for load: fewer than this part may be. If more than half were out, the platform would use all.
+	maxOutPercent = 40
 	// minPeers is the number of other routers in the zone that must be heard: of two routers, none may leave.
 	minPeers = 2
 	// leaveDelay is how long pressure is at leavePressure before the router leaves rotation. It covers the time in which peers hear of the overload, some datagrams of 220 ms in the largest fleets, and the work that waited for a frozen process.
@@ -42,17 +40,14 @@
 	heardAt time.Time
 }
 
-// order compares routers by the hash of their names. It is the same at all routers.
-func order(hash, other uint64) int { return cmp.Compare(hash, other) }
-
 // zoneView counts the routers heard in the zone, without this one.
 type zoneView struct {
 	heard int
 	room  bool
-	// out counts the routers out of rotation, and outBefore those that are before this one in the order.
+	// out counts the routers out of rotation, and outBefore those that come first by the hash of their names, an order that is the same at all routers.
 	out       int
 	outBefore int
-	// waitingBefore counts the overloaded routers in rotation that are before this one in the order.
+	// waitingBefore counts the overloaded routers in rotation that come first.
 	waitingBefore int
 }
 
@@ -85,7 +80,7 @@
 			delete(p.byName, name)
 			continue
 		}
-		before := order(peer.hash, p.hash) < 0
+		before := peer.hash < p.hash
 		v.heard++
 		v.room = v.room || peer.hasRoom()
 		switch {
@@ -101,12 +96,12 @@
 	return v
 }
 
-// maxOut returns the largest number of routers that may be out of rotation, fewer than maxOutRatio of those heard, this one included.
+// maxOut returns the largest number of routers that may be out of rotation, fewer than maxOutPercent of those heard, this one included.
 func (v zoneView) maxOut() int {
 	if v.heard < minPeers {
 		return 0
 	}
-	return int(math.Ceil(maxOutRatio*float64(v.heard+1))) - 1
+	return (maxOutPercent*(v.heard+1) - 1) / 100
 }
 
 // rotation decides whether the router is in rotation.
