--- a/lib/hwengine/engine.go
+++ b/lib/hwengine/engine.go
@@ -25,6 +25,19 @@
 	FirstToken time.Duration
 	// CacheTokens is the size of the prefix cache.
 	CacheTokens int
+	// TimeFactor is the time of every step relative to these figures; 0 stands for 1.
+	TimeFactor float64
+	// Spells are the times in which steps take longer, in order of time.
+	Spells []Spell
+}
+
+// Spell is a time in which an engine is slowed down, as by its neighbours on the same machine.
+type Spell struct {
+	// From and To are times since the engine's start.
+	From time.Duration
+	To   time.Duration
+	// Slowdown is the time of a step in the spell relative to the time without it.
+	Slowdown float64
 }
 
 // Request is a request for generated tokens.
@@ -62,6 +75,8 @@
 	waiting  []Request
 	batch    []*running
 	cache    *hwprompt.CacheIndex
+	// pastSpells is the number of spells that are over.
+	pastSpells int
 }
 
 // cacheName is the name of the engine in its own cache index.
@@ -117,6 +132,18 @@
 	}
 }
 
+// Slowdown returns how many times longer a step that begins now takes because of a spell.
+func (e *Engine) Slowdown() float64 {
+	spells := e.settings.Spells
+	for e.pastSpells < len(spells) && spells[e.pastSpells].To <= e.now {
+		e.pastSpells++
+	}
+	if e.pastSpells < len(spells) && spells[e.pastSpells].From <= e.now {
+		return spells[e.pastSpells].Slowdown
+	}
+	return 1
+}
+
 // step prefills one chunk and generates a token for each request whose prompt is prefilled.
 func (e *Engine) step() []Event {
 	duration := e.settings.Step
@@ -143,6 +170,12 @@
 			generating = append(generating, r)
 		}
 	}
+	if e.settings.TimeFactor > 0 {
+		duration = time.Duration(e.settings.TimeFactor * float64(duration))
+	}
+	if slowdown := e.Slowdown(); slowdown != 1 {
+		duration = time.Duration(slowdown * float64(duration))
+	}
 	e.now += duration
 	return e.generate(generating)
 }
--- a/lib/hwengine/fleet_test.go
+++ b/lib/hwengine/fleet_test.go
@@ -55,22 +55,51 @@
 	nextID  int
 	// load multiplies the rates of all kinds.
 	load float64
+	options fleetOptions
+	// firstTokens are the times to first token since resetCounts.
+	firstTokens []time.Duration
 	// admitted, refused and onTime count the requests since resetCounts.
 	admitted, refused, onTime int
 }
 
+// fleetOptions are the variations of the modelled fleet.
+type fleetOptions struct {
+	// engine returns the settings of an engine by its number; nil makes all equal.
+	engine func(number int) hwengine.Settings
+	// reports makes engines report their load and slowdown in their answers, and routers exchange observations.
+	reports bool
+	// admitAll sends every request, however long its wait.
+	admitAll bool
+	// upstreamSpeeds enables the speed factors of the routers.
+	upstreamSpeeds bool
+	// seed is added to that of the arrivals.
+	seed uint64
+	// kinds are the kinds of requests; nil stands for the modelled load.
+	kinds []kind
+}
+
 var epoch = time.Unix(1_700_000_000, 0)
 
 func (f *fleet) clock() time.Time { return epoch.Add(f.now) }
 
-func newFleet(load float64) *fleet {
+func newFleet(load float64) *fleet { return newFleetWith(load, fleetOptions{}) }
+
+func newFleetWith(load float64, options fleetOptions) *fleet {
 	f := &fleet{
-		random:  rand.New(rand.NewPCG(7, 7)),
+		random:  rand.New(rand.NewPCG(7, 7+options.seed)),
 		pending: map[int]*pending{},
 		load:    load,
+		options: options,
 	}
-	for range engineCount {
-		f.engines = append(f.engines, hwengine.New(sheet()))
+	if options.kinds == nil {
+		f.options.kinds = kinds
+	}
+	for i := range engineCount {
+		s := sheet()
+		if options.engine != nil {
+			s = options.engine(i)
+		}
+		f.engines = append(f.engines, hwengine.New(s))
 	}
 	f.restartRouters()
 	return f
@@ -95,6 +124,7 @@
 			PrefixCacheRatio:          0.6,
 			AffinityDiscountRatio:     1,
 			EngineJitterMS:            20,
+			UpstreamSpeeds:            f.options.upstreamSpeeds,
 		}, hwplace.NewNotices(), 560_000)
 		p.SetUpstreams(upstreams)
 		f.routers = append(f.routers, p)
@@ -133,6 +163,7 @@
 
 func (f *fleet) resetCounts() {
 	f.admitted, f.refused, f.onTime = 0, 0, 0
+	f.firstTokens = nil
 }
 
 // run advances the fleet under load.
@@ -146,7 +177,7 @@
 		if f.now%reportPeriod == 0 {
 			f.exchangeLoads()
 		}
-		for _, k := range kinds {
+		for _, k := range f.options.kinds {
 			if f.random.Float64() < f.load*k.perSecond*tick.Seconds() {
 				f.arrive(k)
 			}
@@ -157,9 +188,13 @@
 func (f *fleet) exchangeLoads() {
 	for from, p := range f.routers {
 		loads := p.LocalLoads()
+		observations := p.TakeObservations(f.clock(), 100)
 		for to, peer := range f.routers {
 			if to != from {
 				peer.SetPeerLoads(f.clock(), strconv.Itoa(from), loads)
+				for _, observation := range observations {
+					peer.RecordPeerObservation(f.clock(), strconv.Itoa(from), observation)
+				}
 			}
 		}
 	}
@@ -176,11 +211,29 @@
 		delete(f.pending, event.ID)
 		return
 	}
-	if first, elapsed := p.RecordProgress(epoch.Add(event.At), r.inFlight); first && elapsed <= r.kind.objective {
-		f.onTime++
+	if f.options.reports {
+		f.reportLoad(event, r)
+	}
+	if first, elapsed := p.RecordProgress(epoch.Add(event.At), r.inFlight); first {
+		f.firstTokens = append(f.firstTokens, elapsed)
+		if elapsed <= r.kind.objective {
+			f.onTime++
+		}
 	}
 }
 
+// reportLoad passes what the engine states with a request's first token to its router.
+func (f *fleet) reportLoad(event hwengine.Event, r *pending) {
+	number, _ := strconv.Atoi(r.inFlight.Upstream)
+	engine := f.engines[number]
+	f.routers[r.router].RecordLoad(epoch.Add(event.At), r.inFlight.Upstream, hwplace.Load{
+		Running:         engine.Running(),
+		Waiting:         engine.Waiting(),
+		Slots:           sheet().Slots,
+		SlowdownPercent: int(100 * engine.Slowdown()),
+	})
+}
+
 // arrive handles a new request at a random router.
 func (f *fleet) arrive(k kind) {
 	router := f.random.IntN(routerCount)
@@ -194,7 +247,7 @@
 		QueueWait:        choice.QueueWait,
 		LatencyObjective: k.objective,
 	})
-	if !decision.Admitted {
+	if !decision.Admitted && !f.options.admitAll {
 		f.refused++
 		return
 	}
--- a/lib/hwplace/member.go
+++ b/lib/hwplace/member.go
@@ -33,6 +33,8 @@
 	unreachableAt   time.Time
 	// notice is what the upstream has said of itself, or nil.
 	notice *notice
+	// speed is the model of the upstream's speed; it is used with Settings.UpstreamSpeeds.
+	speed speedModel
 }
 
 const (
@@ -94,6 +96,7 @@
 		return
 	}
 	sample := float64(load.SlowdownPercent) / 100
+	s.speed.recordSpell(now, sample)
 	if s.slowdown == 0 {
 		s.slowdown = sample
 	} else {
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -53,6 +53,8 @@
 	ServiceJitterRatio float64
 	// InitialRequestMS is the request time of a plain service until one has been measured.
 	InitialRequestMS float64
+	// UpstreamSpeeds enables a speed factor for each upstream, learned from its answers and those to peers. Without it all upstreams of a pool count as equally fast.
+	UpstreamSpeeds bool
 }
 
 // Load is what an upstream reports about itself in an answer.
@@ -121,6 +123,10 @@
 	progressed   bool
 	finished     bool
 	plainService bool
+	// state is that of the upstream's lifetime at which the request was started, or nil.
+	state *upstreamState
+	// queued means that the time to the first event includes more than the upstream's own work on the request: a wait for a slot, or a fetch.
+	queued bool
 }
 
 // Pool holds the upstreams of one pool with the router's estimates of their load, caches and health. It is not safe for concurrent use.
@@ -142,6 +148,7 @@
 	// unsentObservations have not been sent to the peers yet.
 	unsentObservations map[IDHash]*unsentObservation
 	prefill            prefillModel
+	speeds             poolSpeeds
 	// meanPrefillTokens is the moving average of the tokens that a request has to prefill.
 	meanPrefillTokens float64
 	// meanRequestMS is the moving average of the time of a plain service's request.
@@ -300,6 +307,7 @@
 // Choose returns the upstream with the lowest score for a request, or false when no upstream is eligible.
 func (p *Pool) Choose(now time.Time, request Request) (Choice, bool) {
 	p.expirePeerReports(now)
+	p.refreshSpeeds(now)
 	var best Choice
 	lowest := math.Inf(1)
 	holder, cached := p.largestCacheHolder(now, request)
@@ -355,7 +363,8 @@
 	if s.upstream.Zone != p.settings.Zone {
 		score += p.settings.CrossZonePenaltyMS
 	}
-	slowdown := s.slowdownFactor(now)
+	// slowdown is relative to the pool's mean.
+	slowdown := p.slowdown(now, s)
 	if !p.hasEngines {
 		wait := p.meanRequestMS * slowdown * float64(max(0, running-slots+1)) / float64(slots)
 		choice.QueueWait = milliseconds(wait)
@@ -374,7 +383,7 @@
 	wait := slowdown * tokens / p.prefill.tokensPerMS
 	// Without a free slot the request also waits until a running one ends.
 	if running >= slots {
-		wait += slotWaitMS * float64(running-slots+1) / float64(slots)
+		wait += s.speed.factor() * slotWaitMS * float64(running-slots+1) / float64(slots)
 	}
 	choice.QueueWait = milliseconds(wait)
 	score += p.settings.LoadWeight*(wait+fullBatchPenaltyMS*float64(running)/float64(slots)) + p.settings.CacheMissWeight*slowdown*cost/p.prefill.tokensPerMS
--- a/lib/hwplace/seen.go
+++ b/lib/hwplace/seen.go
@@ -10,6 +10,9 @@
 	Waiting int
 	// Unreachable means that no connection could be opened. Running and Waiting are then 0.
 	Unreachable bool
+	// SpeedFactor is the mean of the router's samples of the upstream's speed factor since its last message, and SpeedWeight their weight in samples. If the weight is above 0, the observation contains nothing else.
+	SpeedFactor float64
+	SpeedWeight float64
 	// Age is how long ago the observation was made.
 	Age time.Duration
 }
@@ -102,6 +105,9 @@
 				Age:      now.Sub(o.loadAt),
 			})
 		}
+		if speed, found := p.takeSpeedObservation(upstream); found {
+			observations = append(observations, speed)
+		}
 		if !o.unreachableAt.IsZero() {
 			observations = append(observations, Observation{
 				Upstream:    upstream,
@@ -126,6 +132,10 @@
 	if s == nil {
 		return
 	}
+	if observation.SpeedWeight > 0 {
+		p.recordPeerSpeed(now, s, router, observation)
+		return
+	}
 	at := now.Add(-observation.Age)
 	if !observation.Unreachable {
 		s.updateReportedLoad(at, observation.Running, observation.Waiting)
--- a/lib/hwplace/ticket.go
+++ b/lib/hwplace/ticket.go
@@ -14,7 +14,10 @@
 	if s == nil {
 		return inFlight
 	}
-	_, inFlight.tokensAhead = p.currentLoad(now, s)
+	inFlight.state = s
+	var requests int
+	requests, inFlight.tokensAhead = p.currentLoad(now, s)
+	inFlight.queued = requests >= max(1, s.upstream.Slots) || choice.FetchFrom != ""
 	if s.unanswered == 0 {
 		s.unansweredSince = now
 	}
@@ -40,11 +43,7 @@
 	}
 	r.progressed = true
 	elapsed = now.Sub(r.startedAt)
-	if r.plainService {
-		p.meanRequestMS += requestSmoothing * (elapsed.Seconds()*1000 - p.meanRequestMS)
-	} else {
-		p.prefill.addSample(r.prefillTokens, r.tokensAhead, elapsed)
-	}
+	p.learnTime(now, s, r, elapsed)
 	if s != nil {
 		s.unanswered = max(0, s.unanswered-1)
 		s.pendingTokens = max(0, s.pendingTokens-r.prefillTokens)
