--- a/lib/hwevent/catalogue.go
+++ b/lib/hwevent/catalogue.go
@@ -41,6 +41,7 @@
 	ZoneRestored          = register(1512, Info, "zone-restored", "The evacuation of an availability zone has ended; its upstreams get requests again in steps over two seconds.")
 	UpstreamCold          = register(1513, Info, "upstream-cold", "An upstream has become cold; until it is warm, all routers together send it a limited rate of requests.")
 	UpstreamWarm          = register(1514, Info, "upstream-warm", "A cold upstream has become warm; its requests are no longer limited.")
+	UpstreamSpeedChanged  = register(1515, Info, "upstream-speed-changed", "The estimated speed of an upstream relative to its pool has changed by a quarter or more; the fields state the time that it takes for its work in percent of the pool's mean.")
 	RequestQuarantined    = register(1601, Error, "request-quarantined", "Several upstreams crashed at the same request, and none is known to have survived it; its repetitions are rejected.")
 	UpstreamCrashed       = register(1602, Warn, "upstream-crashed", "An upstream crashed while requests of this router were in flight there; a line for each of them follows.")
 	CrashSuspect          = register(1603, Info, "crash-suspect", "A request was in flight at an upstream that crashed, or had just ended there; the fields state how far it was and which segments its prompt shares with others.")
--- a/lib/hwplace/member.go
+++ b/lib/hwplace/member.go
@@ -38,6 +38,8 @@
 	notice *notice
 	// cold is what is known of whether the upstream is cold, or nil.
 	cold *coldState
+	// speed is the model of the upstream's speed; it is used with Settings.UpstreamSpeeds.
+	speed speedModel
 }
 
 const (
@@ -99,6 +101,7 @@
 		return
 	}
 	sample := float64(load.SlowdownPercent) / 100
+	s.speed.recordSpell(now, sample)
 	if s.slowdown == 0 {
 		s.slowdown = sample
 	} else {
--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -56,6 +56,8 @@
 	ServiceJitterRatio float64
 	// InitialRequestMS is the request time of a plain service until one has been measured.
 	InitialRequestMS float64
+	// UpstreamSpeeds enables a speed factor for each upstream, learned from its answers and those to peers. Without it all upstreams of a pool count as equally fast.
+	UpstreamSpeeds bool
 }
 
 // Load is what an upstream reports about itself in an answer.
@@ -126,6 +128,10 @@
 	plainService bool
 	// permit is the permit that the request took if the upstream was cold.
 	permit hwquota.Permit
+	// state is that of the upstream's lifetime at which the request was started, or nil.
+	state *upstreamState
+	// queued means that the time to the first event includes more than the upstream's own work on the request: a wait for a slot, or a fetch.
+	queued bool
 }
 
 // Pool holds the upstreams of one pool with the router's estimates of their load, caches and health. It is not safe for concurrent use.
@@ -154,6 +160,7 @@
 	// unsentObservations have not been sent to the peers yet.
 	unsentObservations map[IDHash]*unsentObservation
 	prefill            prefillModel
+	speeds             poolSpeeds
 	// meanPrefillTokens is the moving average of the tokens that a request has to prefill.
 	meanPrefillTokens float64
 	// meanRequestMS is the moving average of the time of a plain service's request.
@@ -267,6 +274,7 @@
 // Choose returns the upstream with the lowest score for a request, or false when no upstream is eligible. Upstreams with equal scores are preferred in the order of the list from a position that the request's random number determines.
 func (p *Pool) Choose(now time.Time, request Request) (Choice, bool) {
 	p.expirePeerReports(now)
+	p.refreshSpeeds(now)
 	var best estimate
 	lowest := math.Inf(1)
 	var cachedTokens []int
@@ -287,7 +295,7 @@
 			}
 			score := e.score
 			if s == affinity {
-				score -= p.settings.AffinityDiscountRatio * float64(e.prefillTokens) / p.prefill.tokensPerMS
+				score -= p.affinityDiscount(now, e)
 			}
 			if request.LeastLoaded {
 				requests, _ := p.currentLoad(now, s)
@@ -332,7 +340,8 @@
 	if s.upstream.Zone != p.settings.Zone {
 		score += p.settings.CrossZonePenaltyMS
 	}
-	slowdown := s.slowdownFactor(now)
+	// slowdown is relative to the pool's mean.
+	slowdown := p.timeFactor(now, s)
 	if !p.hasEngines {
 		e.waitMS = p.meanRequestMS * slowdown * float64(max(0, running-slots+1)) / float64(slots)
 		e.score = score + e.waitMS + p.meanRequestMS*slowdown*(1+float64(running)/float64(slots))
@@ -351,7 +360,7 @@
 	wait := slowdown * tokens / p.prefill.tokensPerMS
 	// Without a free slot the request also waits until a running one ends.
 	if running >= slots {
-		wait += slotWaitMS * float64(running-slots+1) / float64(slots)
+		wait += s.speed.factor() * slotWaitMS * float64(running-slots+1) / float64(slots)
 	}
 	e.waitMS = wait
 	e.score = score + (p.settings.LoadWeight*(wait+fullBatchPenaltyMS*float64(running)/float64(slots)) + p.settings.CacheMissWeight*slowdown*cost/p.prefill.tokensPerMS)
@@ -378,7 +387,7 @@
 	var first *upstreamState
 	highest := uint64(0)
 	for _, s := range p.ordered {
-		if score := hwprompt.RendezvousScore(prefixHash, s.hash); (first == nil || score > highest) && !s.isLeaving(now) && !p.isEvacuated(s) {
+		if score := p.affinityScore(hwprompt.RendezvousScore(prefixHash, s.hash), s); (first == nil || score > highest) && !s.isLeaving(now) && !p.isEvacuated(s) {
 			first = s
 			highest = score
 		}
