Bound the calls to a store that fails

Cause: every router whose reader had nothing recent read the store itself and did so again 150 ms after each failure.

Change: ReadGate spaces the reads of routers that should leave the store to the reader; FailedPollWait spaces their queries to peers; pings slow down after three failures if nearly all peers fail too. hwfleet tells the backup (IsBackup). A deferred read counts as an outage only if pings fail too. hickorywick_store_calls_total counts calls by kind and outcome.

Tests changed: fakes got the new methods of the interfaces; no assertion.

--- a/lib/hwfleet/ask.go
+++ b/lib/hwfleet/ask.go
@@ -99,6 +99,12 @@
 // IsReader reports whether this router reads the store on behalf of the others.
 func (f *Fleet) IsReader(now time.Time) bool { return f.readers(now)[0] == f.settings.Self }
 
+// IsBackup reports whether this router is queried after the reader and takes over when that fails.
+func (f *Fleet) IsBackup(now time.Time) bool {
+	readers := f.readers(now)
+	return len(readers) > 1 && readers[1] == f.settings.Self
+}
+
 // QueryPeers queries the reader and then its backup until one of them returns a complete snapshot that the query accepts.
 func (f *Fleet) QueryPeers(ctx context.Context, query hwfollow.Query) (hwfollow.Snapshot, error) {
 	targets := f.readers(f.now())
--- a/lib/hwfleet/pace_test.go
+++ b/lib/hwfleet/pace_test.go
@@ -1,6 +1,7 @@
 package hwfleet
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -20,3 +21,31 @@
 	settings.MaxPerSecond = 0
 	assert.Equal(t, 100*time.Millisecond, settings.updateInterval(360))
 }
+
+// The reader fails. Its backup must know that it is the backup, so that its reads and pings are not held back, and only one router may be it.
+func TestBackupIsTheSecondOfTheRanking(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	addresses := []netip.AddrPort{
+		netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1"),
+	}
+	readers, backups := 0, 0
+	for _, self := range addresses {
+		f := New(Settings{Self: self}, nil, nil, nil, nil)
+		for _, address := range addresses {
+			if address != self {
+				f.peers[address] = &peer{name: address.String(), lastSeen: now}
+			}
+		}
+		if f.IsReader(now) {
+			readers++
+			assert.False(t, f.IsBackup(now))
+		}
+		if f.IsBackup(now) {
+			backups++
+		}
+	}
+	assert.Equal(t, 1, readers)
+	assert.Equal(t, 1, backups)
+	alone := New(Settings{Self: addresses[0]}, nil, nil, nil, nil)
+	assert.False(t, alone.IsBackup(now), "a router alone is its own reader and has no backup")
+}
--- a/lib/hwfollow/follow.go
+++ b/lib/hwfollow/follow.go
@@ -5,7 +5,10 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hickorywick/hickorywick/lib/hwevent"
@@ -58,7 +61,7 @@
 	// PingInterval is the time between two pings of the source. PingValidity is how long after a successful ping the source counts as reachable.
 	PingInterval time.Duration
 	PingValidity time.Duration
-	// RetryInterval is the time between a failed poll for table or list and the next one.
+	// RetryInterval is the time between a failed poll for table or list and the next one of a router that reads the store for others; FailedPollWait states that of the others.
 	RetryInterval time.Duration
 	// Timeout bounds one poll for table or list, which may take several calls.
 	Timeout time.Duration
@@ -84,6 +87,8 @@
 	revision int64
 	// lastPing is when the last successful ping of the source was sent. Only pingSource uses it.
 	lastPing time.Time
+	// pingFailing reports that the last ping failed.
+	pingFailing atomic.Bool
 	// reconciler is used by pollList only.
 	reconciler ListReconciler
 
@@ -153,9 +158,9 @@
 	ping := hwtask.Start(ctx, func(ctx context.Context) error {
 		// Pings are frequent, so a single failure matters little: they are retried soon and time out early.
 		return p.pollLoop(ctx, "way", schedule{
-			interval:      p.settings.PingInterval,
-			retryInterval: p.settings.PingInterval / 2,
-			timeout:       min(p.settings.PingInterval, p.settings.Timeout),
+			interval:   p.settings.PingInterval,
+			timeout:    min(p.settings.PingInterval, p.settings.Timeout),
+			afterError: p.waitToPing,
 		}, p.pingSource)
 	})
 	return hwtask.Join(list, table, ping)
@@ -165,42 +170,73 @@
 type schedule struct {
 	// interval is the time between the starts of two polls.
 	interval time.Duration
-	// retryInterval is the time between a failed poll and the next one.
-	retryInterval time.Duration
 	// timeout bounds one poll.
 	timeout time.Duration
+	// afterError waits between a failed poll and the next one.
+	afterError func(ctx context.Context, failures int, err error)
 }
 
 // schedule returns the schedule of the polls for table or list.
 func (p *Poller) schedule(interval time.Duration) schedule {
 	return schedule{
-		interval:      interval,
-		retryInterval: p.settings.RetryInterval,
-		timeout:       p.settings.Timeout,
+		interval:   interval,
+		timeout:    p.settings.Timeout,
+		afterError: p.waitToPoll,
 	}
 }
 
+// condition returns what this router knows after a number of failures in a row.
+func (p *Poller) condition(failures int) Condition {
+	now := p.clock.Now()
+	return Condition{
+		Peers:      p.reachability.PeerCount(now),
+		ReadsStore: p.reachability.IsReader(now) || p.reachability.IsBackup(now),
+		Failures:   failures,
+		Random:     rand.Float64(),
+	}
+}
+
+// waitToPoll waits between a failed poll for table or list and the next one, but not beyond the time of a deferred read.
+func (p *Poller) waitToPoll(ctx context.Context, failures int, err error) {
+	wait := FailedPollWait(p.settings.RetryInterval, p.condition(failures))
+	var deferred *DeferredReadError
+	if errors.As(err, &deferred) {
+		wait = min(wait, deferred.Wait)
+	}
+	hwtask.Sleep(ctx, wait)
+}
+
 // pollLoop polls until the context ends, and logs the start and the end of each outage of the source.
 func (p *Poller) pollLoop(ctx context.Context, question string, s schedule, poll func(context.Context) error) error {
 	var failingSince time.Time
+	// failures counts the failures in a row of the same sort: calls of the source, or reads that were deferred.
+	failures, wasDeferred := 0, false
 	for ctx.Err() == nil {
 		began := p.clock.Now()
 		pollCtx, cancel := context.WithTimeout(ctx, s.timeout)
 		err := poll(pollCtx)
 		cancel()
-		wait := s.interval - p.clock.Now().Sub(began)
+		if err == nil {
+			failures, wasDeferred = 0, false
+		}
 		switch {
 		case err != nil && ctx.Err() == nil:
+			var deferred *DeferredReadError
+			if isDeferred := errors.As(err, &deferred); isDeferred != wasDeferred {
+				failures, wasDeferred = 0, isDeferred
+			}
+			failures++
 			if failingSince.IsZero() {
 				failingSince = began
 				p.logger.Emit(hwevent.StoreUnreachable, hwevent.With("question", question), hwevent.With("cause", err.Error()))
 			}
-			wait = s.retryInterval
+			s.afterError(ctx, failures, err)
+			continue
 		case err == nil && !failingSince.IsZero():
 			p.logger.Emit(hwevent.StoreReachable, hwevent.With("question", question), hwevent.With("lost-ms", p.clock.Now().Sub(failingSince).Milliseconds()))
 			failingSince = time.Time{}
 		}
-		hwtask.Sleep(ctx, wait)
+		hwtask.Sleep(ctx, s.interval-p.clock.Now().Sub(began))
 	}
 	return nil
 }
@@ -232,7 +268,11 @@
 	result, err := p.source.Upstreams(ctx)
 	now := p.clock.Now()
 	if err != nil {
-		p.reconciler.SourceFailed(now)
+		// Missing upstreams are retained after an outage. A deferred read says nothing about the source, so it counts as an outage only if pings fail too.
+		var deferred *DeferredReadError
+		if !errors.As(err, &deferred) || p.pingFailing.Load() {
+			p.reconciler.SourceFailed(now)
+		}
 		return err
 	}
 	list := result.Upstreams
--- a/lib/hwfollow/follow_test.go
+++ b/lib/hwfollow/follow_test.go
@@ -158,6 +158,12 @@
 
 func (f *fakeReachability) SetStoreReachable(reachable bool) { f.reachable.Store(reachable) }
 
+func (f *fakeReachability) IsReader(time.Time) bool { return true }
+
+func (f *fakeReachability) IsBackup(time.Time) bool { return false }
+
+func (f *fakeReachability) PeerCount(time.Time) int { return f.peersReachable + f.peersUnreachable }
+
 func (f *fakeReachability) PeerReachability(time.Time) (reachable, unreachable int) {
 	return f.peersReachable, f.peersUnreachable
 }
--- a/lib/hwfollow/shared.go
+++ b/lib/hwfollow/shared.go
@@ -17,6 +17,8 @@
 type PeerQuerier interface {
 	// IsReader reports whether this router reads the store on behalf of the others.
 	IsReader(now time.Time) bool
+	// IsBackup reports whether this router takes over from the reader when that fails.
+	IsBackup(now time.Time) bool
 	// PeerCount returns how many other routers were heard lately.
 	PeerCount(now time.Time) int
 	// QueryPeers returns a snapshot that the query accepts. It contains the list or the encoded table only if the query wants it and doesn't know it.
@@ -65,39 +67,18 @@
 	peers  PeerQuerier
 	maxAge time.Duration
 	now    func() time.Time
+	// random returns a random number from 0 to 1.
+	random func() float64
 	// list is the last list from a peer. Only Upstreams uses list and listDigest; it is never called concurrently.
 	list       []hwplace.Upstream
 	listDigest uint64
-	// tableDeferral is used by Table only, and listDeferral by Upstreams only.
-	tableDeferral deferral
-	listDeferral  deferral
-}
-
-const (
-	// deferTime is how long a router without a snapshot leaves the store to a reader that has none either.
-	deferTime = 500 * time.Millisecond
-	// minOwnReadInterval is the mean time between two reads of such a router from then on, and ownReadIntervalPerPeer makes all of them together read the store no more than a hundred times a second, a twentieth of what the platform allows.
-	minOwnReadInterval     = 300 * time.Millisecond
-	ownReadIntervalPerPeer = 10 * time.Millisecond
-)
-
-// deferral decides when a router that has no snapshot yet reads the store itself, although another router is the reader: the reader may be the only one that the store turns away. The zero value is ready for use.
-type deferral struct {
-	nextRead time.Time
-}
-
-// mayRead reports whether the store may be read now, given the number of peers and a random number from 0 to 1.
-func (d *deferral) mayRead(now time.Time, peers int, random float64) bool {
-	interval := max(minOwnReadInterval, time.Duration(peers)*ownReadIntervalPerPeer)
-	jittered := time.Duration((0.5 + random) * float64(interval))
-	if d.nextRead.IsZero() {
-		d.nextRead = now.Add(deferTime + jittered)
-	}
-	if now.Before(d.nextRead) {
-		return false
-	}
-	d.nextRead = now.Add(jittered)
-	return true
+	// tableGate is used by Table only, and listGate by Upstreams only. hasList reports that a poll has returned a list.
+	tableGate ReadGate
+	listGate  ReadGate
+	hasList   bool
+	// tableFailures and listFailures are the failed reads of the store in a row.
+	tableFailures int
+	listFailures  int
 }
 
 // NewSharedSource returns a source that reads the store if this router is the reader, or if no peer has a snapshot younger than maxAge.
@@ -107,10 +88,21 @@
 		peers:  peers,
 		maxAge: maxAge,
 		now:    now,
+		random: rand.Float64,
+
+		tableGate: NewReadGate(TablePace),
+		listGate:  NewReadGate(ListPace),
 	}
 }
 
-// Table returns a peer's confirmation of the known revision or a peer's newer table, and otherwise reads the store. If neither this router nor its peers have a table, it leaves the store to the reader for a time and returns NoSnapshotError, so that a fleet that starts before its configuration exists does not query the store all at once.
+// WithRandom returns a copy that takes its random numbers, from 0 to 1, from the given function, which must be safe for concurrent use. The source must not be in use yet.
+func (s *SharedSource) WithRandom(random func() float64) *SharedSource {
+	clone := *s
+	clone.random = random
+	return &clone
+}
+
+// Table returns a peer's confirmation of the known revision or a peer's newer table, and otherwise reads the store, as often as a ReadGate allows it. Until then it returns DeferredReadError, so that a fleet whose reader fails or that starts before its configuration exists does not query the store all at once.
 func (s *SharedSource) Table(ctx context.Context, known int64) (TableResult, error) {
 	if !s.peers.IsReader(s.now()) {
 		snapshot, err := s.peers.QueryPeers(ctx, Query{
@@ -120,11 +112,10 @@
 		})
 		var noSnapshot *NoSnapshotError
 		switch {
-		case errors.As(err, &noSnapshot) && known == 0 && !s.tableDeferral.mayRead(s.now(), s.peers.PeerCount(s.now()), rand.Float64()):
-			return TableResult{}, err
 		case err != nil || snapshot.Revision < known:
 			// Only the store can have a newer table than this router.
 		case snapshot.Revision == known:
+			s.tableGate.Reset()
 			return TableResult{
 				Revision: known,
 				Age:      snapshot.TableAge,
@@ -132,6 +123,7 @@
 		default:
 			// A table that can't be decoded, which the source logs, may just have been corrupted in transit, so it is read from the store.
 			if table, err := s.store.Decode(snapshot.EncodedTable, snapshot.Revision); err == nil {
+				s.tableGate.Reset()
 				return TableResult{
 					Table:    table,
 					Encoded:  snapshot.EncodedTable,
@@ -140,8 +132,25 @@
 				}, nil
 			}
 		}
+		// A reader that has just started has no snapshot; only a router without one waits for it longer.
+		if wait := s.readWait(&s.tableGate, s.tableFailures, known > 0 || !errors.As(err, &noSnapshot)); wait > 0 {
+			return TableResult{}, &DeferredReadError{
+				Wait:  wait,
+				Cause: err,
+			}
+		}
+	}
+	result, err := s.store.Table(ctx, known)
+	s.tableFailures = failuresInRow(s.tableFailures, err)
+	return result, err
+}
+
+// failuresInRow returns the number of failures in a row after another call.
+func failuresInRow(before int, err error) int {
+	if err == nil {
+		return 0
 	}
-	return s.store.Table(ctx, known)
+	return before + 1
 }
 
 // Ping pings the store, never a peer.
@@ -156,10 +165,9 @@
 			MaxAge:          s.maxAge,
 		})
 		var noSnapshot *NoSnapshotError
-		if errors.As(err, &noSnapshot) && s.list == nil && !s.listDeferral.mayRead(s.now(), s.peers.PeerCount(s.now()), rand.Float64()) {
-			return ListResult{}, err
-		}
 		if err == nil {
+			s.listGate.Reset()
+			s.hasList = true
 			if snapshot.ListDigest != s.listDigest {
 				s.list = snapshot.List
 				s.listDigest = snapshot.ListDigest
@@ -170,8 +178,28 @@
 				Reconciled: true,
 			}, nil
 		}
+		if wait := s.readWait(&s.listGate, s.listFailures, s.hasList || !errors.As(err, &noSnapshot)); wait > 0 {
+			return ListResult{}, &DeferredReadError{
+				Wait:  wait,
+				Cause: err,
+			}
+		}
 	}
-	return s.store.Upstreams(ctx)
+	result, err := s.store.Upstreams(ctx)
+	s.listFailures = failuresInRow(s.listFailures, err)
+	s.hasList = s.hasList || err == nil
+	return result, err
+}
+
+// readWait returns how long this router leaves the store to others although no peer has a recent snapshot.
+func (s *SharedSource) readWait(gate *ReadGate, failures int, hasSnapshot bool) time.Duration {
+	now := s.now()
+	return gate.Wait(now, hasSnapshot, Condition{
+		Peers:      s.peers.PeerCount(now),
+		ReadsStore: s.peers.IsBackup(now),
+		Failures:   failures,
+		Random:     s.random(),
+	})
 }
 
 // ListDigest returns a hash of a list that does not depend on the order of its upstreams.
--- a/lib/hwfollow/shared_test.go
+++ b/lib/hwfollow/shared_test.go
@@ -32,6 +32,8 @@
 	return snapshot, f.err
 }
 
+func (f *fakePeers) IsBackup(time.Time) bool { return false }
+
 func (f *fakePeers) PeerCount(time.Time) int { return f.peers }
 
 func newSharedSource(store *fakeSource, peers *fakePeers) *hwfollow.SharedSource {
--- a/lib/hwfollow/way.go
+++ b/lib/hwfollow/way.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/hickorywick/hickorywick/lib/hwtask"
 )
 
 // Reachability exchanges with the other routers which of them reach the source directly.
@@ -11,6 +13,10 @@
 	SetStoreReachable(reachable bool)
 	// PeerReachability returns how many peers reach the source directly, and how many report that they don't.
 	PeerReachability(now time.Time) (reachable, unreachable int)
+	// IsReader and IsBackup report whether this router reads the store on behalf of the others, or takes over from the one that does. PeerCount returns how many other routers were heard lately.
+	IsReader(now time.Time) bool
+	IsBackup(now time.Time) bool
+	PeerCount(now time.Time) int
 }
 
 // IsCutOff reports whether this router fails to reach the source while most of its peers do. If most routers can't reach the source, the source itself is unavailable, and clients would gain nothing by connecting to another router.
@@ -25,6 +31,7 @@
 	if err == nil {
 		p.lastPing = sentAt
 	}
+	p.pingFailing.Store(err != nil)
 	now := p.clock.Now()
 	_, complete := p.Snapshot()
 	reachable := !p.lastPing.IsZero() && now.Sub(p.lastPing) < p.settings.PingValidity
@@ -33,3 +40,14 @@
 	p.sink.SetCutOff(IsCutOff(reachable, peersReachable, peersUnreachable))
 	return err
 }
+
+// waitToPing waits between a failed ping and the next one. Pings are frequent, so a single failure matters little: it is retried after half of the interval. Whether pings stay slow is decided again after each such step, so that a router pings at once when most peers reach the source again.
+func (p *Poller) waitToPing(ctx context.Context, failures int, _ error) {
+	for steps := 1; ctx.Err() == nil; steps++ {
+		hwtask.Sleep(ctx, p.settings.PingInterval/2)
+		reachable, unreachable := p.reachability.PeerReachability(p.clock.Now())
+		if !PingsSlowly(p.condition(failures), steps, reachable, unreachable) {
+			return
+		}
+	}
+}
--- a/lib/hwforward/metrics.go
+++ b/lib/hwforward/metrics.go
@@ -111,6 +111,7 @@
 	_, _ = fmt.Fprintf(w, "hickorywick_body_bytes_held %d\n", r.bodyMemory.reserved.Load())
 	_, _ = fmt.Fprintf(w, "hickorywick_table_version %d\n", r.tableVersion())
 	_, _ = fmt.Fprintf(w, "hickorywick_table_age_milliseconds %d\n", r.TableAge().Milliseconds())
+	r.storeCalls.WriteMetrics(w)
 	m.lock.Lock()
 	for _, name := range slices.Sorted(maps.Keys(m.outcomes)) {
 		_, _ = fmt.Fprintf(w, "hickorywick_requests_ended_total{end=%q} %d\n", name, m.outcomes[name])
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -1,6 +1,7 @@
 package hwforward
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -8,6 +9,7 @@
 
 	"github.com/hickorywick/hickorywick/lib/hwadmit"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwfollow"
 	"github.com/hickorywick/hickorywick/lib/hwlink"
 	"github.com/hickorywick/hickorywick/lib/hwplace"
 	"github.com/hickorywick/hickorywick/lib/hwquarantine"
@@ -64,6 +66,8 @@
 	Logger      *hwevent.Logger
 	Clock       Clock
 	Random      rand.Source
+	// StoreCalls are the counters of calls to the store that the metrics include, or nil if this router makes none.
+	StoreCalls *hwfollow.CallCounters
 }
 
 // tableConfirmation is the last time at which the active table was known to be the newest, on both clocks.
@@ -81,6 +85,7 @@
 	logger      *hwevent.Logger
 	clock       Clock
 	metrics     Metrics
+	storeCalls  *hwfollow.CallCounters
 	crashChecks backgroundTasks
 	cacheLists  backgroundTasks
 	// closing is closed when the router ends.
@@ -139,6 +144,7 @@
 		transport:       dependencies.Transport,
 		logger:          dependencies.Logger,
 		clock:           dependencies.Clock,
+		storeCalls:      cmp.Or(dependencies.StoreCalls, &hwfollow.CallCounters{}),
 		random:          rand.New(dependencies.Random),
 		pools:           map[string]*hwplace.Pool{},
 		retryBudgets:    map[string]*hwretry.Budget{},
