--- a/lib/hwfollow/shared_test.go
+++ b/lib/hwfollow/shared_test.go
@@ -182,3 +182,18 @@
 		require.NoError(t, err, "the same for the list")
 	}
 }
+
+// The store lost its history and its reader restarted, so the peers' revision stays below that of the others. Each of them used to read the store at every poll, because only the store can have a newer table.
+func TestReadsAreBoundedAfterTheStoreLostItsHistory(t *testing.T) {
+	store := &fakeSource{revision: 3}
+	now := start
+	s := hwfollow.NewSharedSource(store, &fakePeers{
+		snapshot: hwfollow.Snapshot{Revision: 3},
+		peers:    87,
+	}, time.Second, func() time.Time { return now }).WithRandom(seededRandom(1))
+	for ; now.Before(start.Add(time.Minute)); now = now.Add(250 * time.Millisecond) {
+		_, _ = s.Table(context.Background(), 9)
+	}
+	assert.LessOrEqual(t, store.tableCalls.Load()*88, int64(60*50), "all routers together")
+	assert.GreaterOrEqual(t, store.tableCalls.Load(), int64(20), "within the limit on applying a configuration")
+}
