Check a configuration before it is in force

Cause: entries that never match, contradicting limits and the effects of a change were found only by callers.

Test changed: TestDocumentedCommandsExist failed at the requirements page, which writes an optional argument in brackets. It now parses what is in the brackets too.

--- a/cmd/hickorywickctl/main.go
+++ b/cmd/hickorywickctl/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 
 	"github.com/hickorywick/hickorywick/cmd/hickorywickctl/internal/hwcommand"
 	"github.com/hickorywick/hickorywick/cmd/hickorywickctl/internal/hwquery"
+	"github.com/hickorywick/hickorywick/lib/hwcheck"
 	"github.com/hickorywick/hickorywick/lib/hwrouter"
 	"github.com/hickorywick/hickorywick/lib/hwstore"
 )
@@ -28,6 +30,7 @@
 	Author       string        `env:"HICKORYWICK_AUTHOR,USER" default:"operator" help:"Author recorded with a written version."`
 
 	Validate        validateCommand  `cmd:"" help:"Query: check a document file and print every fault."`
+	Check           checkCommand     `cmd:"" help:"Query: check a document file for contradictions and entries that never match, and print what would change for callers."`
 	Diff            diffCommand      `cmd:"" help:"Query: print what a document file would change."`
 	Show            showCommand      `cmd:"" help:"Query: print the document in force."`
 	History         historyCommand   `cmd:"" help:"Query: print the versions of an environment."`
@@ -75,6 +78,25 @@
 // Run validates the document file.
 func (c validateCommand) Run() error { return hwquery.Validate(os.Stdout, c.File) }
 
+type checkCommand struct {
+	File    string `arg:"" type:"path" help:"Document file."`
+	Against string `type:"path" xor:"other" help:"Other version of the document file to compare with."`
+	InForce bool   `xor:"other" help:"Compare with the document in force."`
+	Strict  bool   `help:"End with status 1 if there are warnings."`
+	Output  string `default:"text" enum:"text,json" help:"Format: text or json."`
+}
+
+// Run checks the document file. It ends with status 2 if there are errors.
+func (c checkCommand) Run(ctx context.Context, a *arguments) error {
+	return hwquery.Check(ctx, os.Stdout, a.store(), hwquery.CheckRequest{
+		File:    c.File,
+		Against: c.Against,
+		InForce: c.InForce,
+		Strict:  c.Strict,
+		JSON:    c.Output == "json",
+	})
+}
+
 type diffCommand struct{ fileArgument }
 
 // Run prints what the document file would change.
@@ -260,8 +282,17 @@
 		kong.Description("Queries and commands for operators of hickorywick routers."),
 		kong.BindTo(ctx, (*context.Context)(nil)))
 	if err := command.Run(args); err != nil {
-		fmt.Fprintln(os.Stderr, "hickorywickctl:", trace.UserMessage(err))
 		stop()
-		os.Exit(1) //nolint:gocritic // The deferred stop has been called.
+		os.Exit(exitStatus(err)) //nolint:gocritic // The deferred stop has been called.
+	}
+}
+
+// exitStatus prints why a command failed and returns the program's status. A check has already printed its findings.
+func exitStatus(err error) int {
+	var status *hwcheck.StatusError
+	if errors.As(err, &status) {
+		return status.Status
 	}
+	fmt.Fprintln(os.Stderr, "hickorywickctl:", trace.UserMessage(err))
+	return 1
 }
--- a/cmd/hickorywickctl/main_test.go
+++ b/cmd/hickorywickctl/main_test.go
@@ -27,6 +27,7 @@
 var requiredArguments = map[string][]string{
 	"put":              {"examples/trial.yaml"},
 	"validate":         {"examples/trial.yaml"},
+	"check":            {"examples/trial.yaml"},
 	"diff":             {"examples/trial.yaml"},
 	"show":             {"trial"},
 	"history":          {"trial"},
@@ -57,6 +58,9 @@
 
 func parseCommand(words []string) error {
 	for i, word := range words {
+		// Brackets mark arguments that may be omitted; they are parsed all the same.
+		word = strings.Trim(word, "[]")
+		words[i] = word
 		if value, known := placeholderValues[word]; known {
 			words[i] = value
 		}
