Keep pings fast until nearly no peer reaches the store; spread reads at fleet start

In the test in which all restart while the store is down, the reads of a second came to 99 of 100.

Change: pings are slow only if more than forty times as many peers don't reach the store as do.

--- a/lib/hwfollow/backoff.go
+++ b/lib/hwfollow/backoff.go
@@ -19,7 +19,7 @@
 	// slowPingFailures is the number of failed pings in a row after which pings may slow down.
 	slowPingFailures = 3
 	// slowPingRatio is the least number of peers that don't reach the store for each one that does. With fewer, routers whose pings are slow would still miss their first answer when most peers have got theirs, and count as cut off.
-	slowPingRatio = 8
+	slowPingRatio = 40
 	// slowPingSteps is the number of retry intervals between two slow pings.
 	slowPingSteps = 4
 )
@@ -29,21 +29,21 @@
 	// PerPeer is the mean time between two reads for each peer, so that the fleet as a whole reads the store at a constant rate. Max bounds the mean time, so that the router's data stay within the limits on their age.
 	PerPeer time.Duration
 	Max     time.Duration
-	// FailureFactor multiplies the time between a read that follows a failed one and the next.
-	FailureFactor int
+	// SlowFactor multiplies the time between a read that follows a failed one and the next, and all times of a router without a snapshot.
+	SlowFactor int
 }
 
 // ListPace and TablePace keep a fleet of 88 routers below a hundred such reads a second. A reader does not share its list for a time after an outage, so every router must have read the list itself within 2 s of the store's return; the pace of lists therefore stays constant. The table is taken from the reader as soon as that has it.
 var (
 	ListPace = ReadPace{
-		PerPeer:       21 * time.Millisecond,
-		Max:           1850 * time.Millisecond,
-		FailureFactor: 1,
+		PerPeer:    21 * time.Millisecond,
+		Max:        1850 * time.Millisecond,
+		SlowFactor: 1,
 	}
 	TablePace = ReadPace{
-		PerPeer:       31 * time.Millisecond,
-		Max:           2700 * time.Millisecond,
-		FailureFactor: 2,
+		PerPeer:    31 * time.Millisecond,
+		Max:        2700 * time.Millisecond,
+		SlowFactor: 2,
 	}
 )
 
@@ -99,7 +99,7 @@
 	if hasSnapshot {
 		interval = min(interval, g.pace.Max)
 	} else {
-		interval = min(max(interval, minFirstInterval), maxFirstInterval)
+		interval = min(max(interval*time.Duration(g.pace.SlowFactor), minFirstInterval), maxFirstInterval)
 	}
 	if g.nextRead.IsZero() {
 		g.nextRead = now.Add(time.Duration(c.Random * float64(interval)))
@@ -110,9 +110,9 @@
 	if wait := g.nextRead.Sub(now); wait > 0 {
 		return wait
 	}
-	if c.Failures >= 1 {
+	if hasSnapshot && c.Failures >= 1 {
 		// The read that starts now follows a failed one, and probably fails too.
-		interval *= time.Duration(g.pace.FailureFactor)
+		interval *= time.Duration(g.pace.SlowFactor)
 	}
 	g.nextRead = now.Add(time.Duration((1 - readJitter + 2*readJitter*c.Random) * float64(interval)))
 	return 0
--- a/lib/hwfollow/outage_test.go
+++ b/lib/hwfollow/outage_test.go
@@ -308,3 +308,28 @@
 		})
 	}
 }
+
+// A whole fleet starts, and the store turns away the two routers that the others have chosen to read it. The others must soon have table and list, without reading the store all at once. The routers start within a second.
+func TestFleetStartsWhileTheStoreTurnsAwayReaderAndBackup(t *testing.T) {
+	inModel(t, func(t *testing.T) {
+		m := newFleetModel(func(router int, _ time.Duration) storeMode {
+			if router < 2 {
+				return refuses
+			}
+			return answers
+		})
+		latest := map[int]time.Duration{}
+		m.run(t, 20*time.Second, latestConfirmation(m, time.Millisecond, latest))
+		worst, worstSecond := time.Duration(0), 0
+		for _, after := range latest {
+			worst = max(worst, after)
+		}
+		for from := time.Duration(0); from < 10*time.Second; from += 100 * time.Millisecond {
+			worstSecond = max(worstSecond, m.followerReads(from, from+time.Second))
+		}
+		t.Logf("confirmed after %v, most reads in a second %d", worst, worstSecond)
+		assert.Len(t, latest, modelRouters, "also those that are turned away, from their peers")
+		assert.LessOrEqual(t, worst, 4*time.Second)
+		assert.LessOrEqual(t, worstSecond, maxReadsPerS)
+	})
+}
