Estimates of a choice are filled in place

Cause: Choose copied an estimate of 64 bytes and a request of 100 for each upstream, and computed the age of load reports that don't exist, for which time.Time.Sub takes its slowest path. Change: pointers, and the check for a report comes first.

--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -258,7 +258,7 @@
 // Choose returns the upstream with the lowest score for a request, or false when no upstream is eligible. Upstreams with equal scores are preferred in the order of the list from a position that the request's random number determines.
 func (p *Pool) Choose(now time.Time, request Request) (Choice, bool) {
 	p.expirePeerReports(now)
-	var best estimate
+	var best, e estimate
 	lowest := math.Inf(1)
 	var cachedTokens []int
 	if p.hasEngines {
@@ -272,7 +272,7 @@
 			if !s.takesRequests(now) || slices.Contains(request.Excluded, s.upstream.ID) {
 				continue
 			}
-			e := p.evaluate(now, s, request, cachedTokens, holder, held)
+			p.evaluate(now, s, &request, cachedTokens, holder, held, &e)
 			if request.MaxWait > 0 && milliseconds(e.waitMS) > request.MaxWait {
 				continue
 			}
@@ -310,14 +310,13 @@
 	return p.settings.ServiceJitterRatio * p.meanRequestMS
 }
 
-// evaluate estimates how a request would fare at an upstream. Its score is in milliseconds; the lowest is best. The holder, if any, is the upstream from whose cache the request can fetch its first holderTokens tokens.
-func (p *Pool) evaluate(now time.Time, s *upstreamState, request Request, cachedTokens []int, holder *upstreamState, holderTokens int) estimate {
+// evaluate estimates how a request would fare at an upstream. It fills an estimate of the caller, because copies took a sixth of the time of a choice. The score is in milliseconds; the lowest is best. The holder, if any, is the upstream from whose cache the request can fetch its first holderTokens tokens.
+func (p *Pool) evaluate(now time.Time, s *upstreamState, request *Request, cachedTokens []int, holder *upstreamState, holderTokens int, e *estimate) {
 	running, tokens := p.currentLoad(now, s)
 	slots := max(1, s.upstream.Slots)
-	e := estimate{
-		upstream:      s,
-		belowHalfLoad: 2*running < slots,
-	}
+	e.upstream = s
+	e.belowHalfLoad = 2*running < slots
+	e.fetches = false
 	score := s.recentFailures(now) * failurePenaltyMS
 	score += s.silenceMS(now)
 	if s.upstream.Zone != p.settings.Zone {
@@ -327,7 +326,7 @@
 	if !p.hasEngines {
 		e.waitMS = p.meanRequestMS * slowdown * float64(max(0, running-slots+1)) / float64(slots)
 		e.score = score + e.waitMS + p.meanRequestMS*slowdown*(1+float64(running)/float64(slots))
-		return e
+		return
 	}
 	cached := cachedTokens[s.cacheSlot]
 	e.prefillTokens = request.Prompt.Tokens() - cached
@@ -346,7 +345,6 @@
 	}
 	e.waitMS = wait
 	e.score = score + (p.settings.LoadWeight*(wait+fullBatchPenaltyMS*float64(running)/float64(slots)) + p.settings.CacheMissWeight*slowdown*cost/p.prefill.tokensPerMS)
-	return e
 }
 
 const (
--- a/lib/hwplace/seen.go
+++ b/lib/hwplace/seen.go
@@ -60,8 +60,11 @@
 
 // reportedLoadAt estimates the load from the newest report, weighted by its age: all requests at the upstream, and those of them that wait. Requests that this router has sent since the report are added to the first with their full weight; tokensSince is their prompt tokens.
 func (s *upstreamState) reportedLoadAt(now time.Time) (requests, waiting, tokensSince float64) {
+	if s.reported.reportedAt.IsZero() {
+		return 0, 0, 0
+	}
 	age := now.Sub(s.reported.reportedAt)
-	if s.reported.reportedAt.IsZero() || age >= loadReportMaxAge {
+	if age >= loadReportMaxAge {
 		return 0, 0, 0
 	}
 	weight := 1 - age.Seconds()/loadReportMaxAge.Seconds()
