--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOBIN := $(CURDIR)/.bin
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
-.PHONY: demo test race scenarios smoke soak build lint format tools measure slopes fuzz generate check-generated
+.PHONY: bench demo test race scenarios smoke soak build lint format tools measure slopes fuzz generate check-generated
 
 demo: ## Stand-ins and four routers in one process, a mixed load, a table of who got what.
 	go run ./cmd/hickorywick-standin demo
@@ -14,6 +14,9 @@
 race: ## All tests under the race detector.
 	go test -race $(PACKAGES)
 
+bench: ## Every benchmark once, so that none fails unnoticed; figures need more time (-benchtime 2s).
+	go test -run '^$$' -bench . -benchtime 1x $(PACKAGES)
+
 scenarios: ## Only the scripted scenarios.
 	go test ./cmd/hickorywick-standin/scenarios/ -v
 
--- a/lib/hwslot/floor.go
+++ b/lib/hwslot/floor.go
@@ -8,7 +8,14 @@
 )
 
 // RendezvousWeight returns the rendezvous weight of a member for a key.
-func RendezvousWeight(key, member string) uint64 { return xxhash.Sum64String(key + "\x00" + member) }
+func RendezvousWeight(key, member string) uint64 {
+	// A buffer on the stack spares an allocation for each pair; longer names allocate.
+	var buffer [typicalNameBytes]byte
+	return xxhash.Sum64(append(append(append(buffer[:0], key...), 0), member...))
+}
+
+// typicalNameBytes is enough for an upstream's address and an instance's name.
+const typicalNameBytes = 128
 
 // RendezvousRank returns the members sorted by descending rendezvous weight for a key.
 func RendezvousRank(key string, members []string) []string {
@@ -36,7 +43,10 @@
 	if len(members) == 0 {
 		return limit
 	}
-	slots := limit / len(members)
+	slots, remainder := limit/len(members), limit%len(members)
+	if remainder == 0 {
+		return slots
+	}
 	rank := 0
 	own := RendezvousWeight(upstream, member)
 	for _, m := range members {
@@ -44,11 +54,11 @@
 		if weight > own || (weight == own && m < member) {
 			rank++
 		}
+		if rank >= remainder {
+			return slots
+		}
 	}
-	if rank < limit%len(members) {
-		slots++
-	}
-	return slots
+	return slots + 1
 }
 
 // minUnleasedDivisor divides a router's even split; the result, rounded up, is what the router may use without a lease even if it held less.
