--- a/lib/hwplace/pool.go
+++ b/lib/hwplace/pool.go
@@ -275,7 +275,7 @@
 func (p *Pool) Choose(now time.Time, request Request) (Choice, bool) {
 	p.expirePeerReports(now)
 	p.refreshSpeeds(now)
-	var best estimate
+	var best, e estimate
 	lowest := math.Inf(1)
 	var cachedTokens []int
 	if p.hasEngines {
@@ -289,7 +289,7 @@
 			if !p.takesRequests(now, s) || slices.Contains(request.Excluded, s.upstream.ID) || !p.hasPermit(now, s) {
 				continue
 			}
-			e := p.evaluate(now, s, request, cachedTokens, holder, held)
+			p.evaluate(now, s, &request, cachedTokens, holder, held, &e)
 			if request.MaxWait > 0 && milliseconds(e.waitMS) > request.MaxWait {
 				continue
 			}
@@ -327,14 +327,13 @@
 	return p.settings.ServiceJitterRatio * p.meanRequestMS
 }
 
-// evaluate estimates how a request would fare at an upstream. Its score is in milliseconds; the lowest is best. The holder, if any, is the upstream from whose cache the request can fetch its first holderTokens tokens.
-func (p *Pool) evaluate(now time.Time, s *upstreamState, request Request, cachedTokens []int, holder *upstreamState, holderTokens int) estimate {
+// evaluate estimates how a request would fare at an upstream. It fills an estimate of the caller, because copies took a sixth of the time of a choice. The score is in milliseconds; the lowest is best. The holder, if any, is the upstream from whose cache the request can fetch its first holderTokens tokens.
+func (p *Pool) evaluate(now time.Time, s *upstreamState, request *Request, cachedTokens []int, holder *upstreamState, holderTokens int, e *estimate) {
 	running, tokens := p.currentLoad(now, s)
 	slots := max(1, s.upstream.Slots)
-	e := estimate{
-		upstream:      s,
-		belowHalfLoad: 2*running < slots,
-	}
+	e.upstream = s
+	e.belowHalfLoad = 2*running < slots
+	e.fetches = false
 	score := s.recentFailures(now) * failurePenaltyMS
 	score += s.silenceMS(now)
 	if s.upstream.Zone != p.settings.Zone {
@@ -345,7 +344,7 @@
 	if !p.hasEngines {
 		e.waitMS = p.meanRequestMS * slowdown * float64(max(0, running-slots+1)) / float64(slots)
 		e.score = score + e.waitMS + p.meanRequestMS*slowdown*(1+float64(running)/float64(slots))
-		return e
+		return
 	}
 	cached := cachedTokens[s.cacheSlot]
 	e.prefillTokens = request.Prompt.Tokens() - cached
@@ -364,7 +363,6 @@
 	}
 	e.waitMS = wait
 	e.score = score + (p.settings.LoadWeight*(wait+fullBatchPenaltyMS*float64(running)/float64(slots)) + p.settings.CacheMissWeight*slowdown*cost/p.prefill.tokensPerMS)
-	return e
 }
 
 const (
