--- a/lib/hwretry/retry.go
+++ b/lib/hwretry/retry.go
@@ -58,6 +58,18 @@
 	return true
 }
 
+// hedgeReserveRatio is the part of MaxBalance that is kept for retries after failures.
+const hedgeReserveRatio = 0.5
+
+// TryWithdrawHedge takes one retry from the balance for a second attempt of a request that has not failed, and reports whether it was available. At least half of MaxBalance is left.
+func (b *Budget) TryWithdrawHedge(now time.Time) bool {
+	b.accrue(now)
+	if b.balance-1 < hedgeReserveRatio*b.settings.MaxBalance {
+		return false
+	}
+	return b.TryWithdraw(now)
+}
+
 // Attempt describes a failed attempt.
 type Attempt struct {
 	// Number is the number of the attempt, counted from 1.
