--- a/lib/hwevent/catalogue.go
+++ b/lib/hwevent/catalogue.go
@@ -50,6 +50,7 @@
 	OrderPlaced           = register(1706, Info, "order-placed", "An order to an upstream ended; the fields state its outcome.")
 	CallerGone            = register(1707, Info, "caller-gone", "A caller closed its connection or stopped sending before it received a response.")
 	RequestFailed         = register(1708, Warn, "request-failed", "A request ended without a complete response from an upstream, which may have executed it.")
+	HedgeSent             = register(1709, Info, "hedge-sent", "A second attempt of a request was sent to another upstream, because the first was late.")
 	UpstreamEntryUnusable = register(1506, Warn, "upstream-entry-unusable", "An entry in the list of upstreams is incomplete or malformed and was ignored.")
 	InstanceListStale     = register(1801, Warn, "instance-list-stale", "The list of instances could not be read; the last list remains in use.")
 	UsageNotStored        = register(1802, Warn, "usage-not-stored", "Hourly usage could not be added to the store; it is retried with the next batch.")
--- a/lib/hwforward/export_test.go
+++ b/lib/hwforward/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hickorywick/hickorywick/lib/hwhedge"
 	"github.com/hickorywick/hickorywick/lib/hwplace"
 	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 )
@@ -28,3 +29,14 @@
 	defer r.lock.Unlock()
 	r.logSegmentChanges(r.segments.RecordCrash(now, now, upstream, segments))
 }
+
+// RecordLatencies records that first attempts of requests without a prompt, whole and streamed, took the given time.
+func (r *Router) RecordLatencies(now time.Time, pool string, elapsed time.Duration, count int) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for range count {
+		for _, stream := range []bool{false, true} {
+			r.hedging.policy.RecordLatency(now, hwhedge.NewClass(pool, stream, 0), elapsed)
+		}
+	}
+}
--- a/lib/hwforward/metrics.go
+++ b/lib/hwforward/metrics.go
@@ -142,6 +142,7 @@
 	defer r.lock.Unlock()
 	_, _ = fmt.Fprintf(w, "hickorywick_quarantined_segments %d\n", r.segments.QuarantinedCount())
 	r.writeEvacuationMetrics(w)
+	r.writeHedgeMetrics(w)
 	for _, name := range slices.Sorted(maps.Keys(r.pools)) {
 		tokensPerMS, requestMS := r.pools[name].LearnedRates()
 		leaving, pausing := r.pools[name].Unavailable(now)
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickorywick/hickorywick/lib/hwadmit"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
+	"github.com/hickorywick/hickorywick/lib/hwhedge"
 	"github.com/hickorywick/hickorywick/lib/hwlink"
 	"github.com/hickorywick/hickorywick/lib/hwplace"
 	"github.com/hickorywick/hickorywick/lib/hwquarantine"
@@ -47,6 +48,8 @@
 	SettleTime time.Duration
 	// Instance is the name under which the peers know this router.
 	Instance string
+	// Hedge limits second attempts of requests that run late; its zero value disables them.
+	Hedge hwhedge.Settings
 }
 
 // Clock provides the time. Unlike the monotonic clock behind Now, BootTime also counts the time during which the machine was suspended.
@@ -124,6 +127,8 @@
 	restarts map[hwplace.Lifetime]time.Time
 	// attempts holds the attempts in flight, with the function that cancels each.
 	attempts map[*exchange]func()
+	// hedging is the state of hedged requests, or nil if they are disabled.
+	hedging *hedging
 	// peersHeard is when each peer last sent an update.
 	peersHeard map[string]time.Time
 	// pendingUpdate is what has not been sent to the peers yet; usageSentAt is when the accounts' usage was last sent.
@@ -168,6 +173,7 @@
 		closing:        make(chan struct{}),
 
 		cacheListsPending: map[string][]hwplace.Upstream{},
+		hedging:           newHedging(settings.Hedge),
 	}
 }
 
--- a/lib/hwforward/run.go
+++ b/lib/hwforward/run.go
@@ -170,20 +170,14 @@
 			return refusal
 		}
 	}
+	if e.attempts == 0 && r.hedging != nil {
+		r.hedging.policy.RecordRequest(now, e.prompt.Tokens())
+	}
 	e.attempts++
 	if e.trial {
 		r.beginTrial(now, e)
 	}
-	e.inFlight = pool.Start(now, e.choice, query)
-	if pool.HasEngines() {
-		for _, segment := range e.prompt.Segments() {
-			r.pendingUpdate.Prefills = append(r.pendingUpdate.Prefills, Prefill{
-				Pool:     e.pool,
-				Upstream: hwplace.HashID(e.choice.Upstream.ID),
-				Prefix:   segment,
-			})
-		}
-	}
+	e.inFlight = e.startAttempt(now, pool, e.choice, query)
 	return nil
 }
 
@@ -269,16 +263,35 @@
 
 // sendOnce sends the request to the selected upstream and handles its response.
 func (e *exchange) sendOnce(ctx context.Context) attemptResult {
+	if e.mayHedge() {
+		return e.sendHedged(ctx)
+	}
 	r := e.router
 	now := r.clock.Now()
 	// The deferred cancel ends the exchange with the upstream however this function returns.
 	attemptCtx, cancel := e.attemptContext(ctx, now)
 	defer cancel()
+	r.watchAttempt(e, cancel)
+	defer r.unwatchAttempt(e)
+	response, result := e.exchangeHead(ctx, attemptCtx, now)
+	if response == nil {
+		return result
+	}
+	defer response.Close()
+	// A client that leaves ends the attempt with a panic.
+	defer e.recordExposure()
+	if e.isStream(response) {
+		return e.relayStream(ctx, response)
+	}
+	return e.bufferAndRelay(ctx, response)
+}
+
+// exchangeHead sends the request to the selected upstream and returns a response whose body may be relayed; the caller closes it and records the exposure. Otherwise the attempt has ended with the result. attemptCtx ends with ctx or with the attempt's timeout.
+func (e *exchange) exchangeHead(ctx, attemptCtx context.Context, now time.Time) (*hwlink.Response, attemptResult) {
+	r := e.router
 	e.sentAt = now
 	e.proof = hwquarantine.ProvesNothing
 	e.suspected = false
-	r.watchAttempt(e, cancel)
-	defer r.unwatchAttempt(e)
 	response, exchangeErr := r.transport.Do(attemptCtx, now, &hwlink.Request{
 		Address: e.choice.Upstream.Address,
 		Method:  e.request.Method,
@@ -299,49 +312,52 @@
 		IDHeader:        r.protocol.RequestIDHeader(),
 	})
 	if exchangeErr != nil {
-		var withheld *hwlink.WithheldError
-		if errors.As(exchangeErr, &withheld) {
-			return e.endWithheldAttempt(ctx, exchangeErr)
-		}
-		if exchangeErr.MaybeSent {
-			e.executions++
-		} else if ctx.Err() == nil {
-			e.recordConnectFailure()
-		}
-		var broken error
-		if exchangeErr.ConnectionFailed && exchangeErr.MaybeSent {
-			broken = exchangeErr
-		}
-		e.finishAttempt(ctx, true, broken)
-		if exchangeErr.MaybeSent {
-			e.recordExposure()
-		}
-		e.excluded = append(e.excluded, e.choice.Upstream.ID)
-		return attemptResult{
-			outcome: failed,
-			unsent:  !exchangeErr.MaybeSent,
-			cause:   exchangeErr,
-		}
+		return nil, e.endUnansweredAttempt(ctx, exchangeErr)
 	}
-	defer response.Close()
 	info := r.protocol.ParseResponse(response.Status, response.Header)
 	r.recordResponseInfo(e.pool, e.choice.Upstream, info)
 	if info.NotExecuted {
-		return e.refusedByUpstream(ctx, response)
+		defer response.Close()
+		return nil, e.refusedByUpstream(ctx, response)
 	}
 	e.executions++
-	// A client that leaves ends the attempt with a panic.
-	defer e.recordExposure()
 	reason := rejectionReason(response, info)
-	switch {
-	case reason != "":
-		return e.rejectResponse(ctx, reason)
-	case e.headerSent && !e.continuesStream(response):
-		return e.rejectResponse(ctx, "to a resumed stream is not its continuation, status "+strconv.Itoa(response.Status))
-	case e.isStream(response):
-		return e.relayStream(ctx, response)
+	if reason == "" && e.headerSent && !e.continuesStream(response) {
+		reason = "to a resumed stream is not its continuation, status " + strconv.Itoa(response.Status)
+	}
+	if reason != "" {
+		defer response.Close()
+		defer e.recordExposure()
+		return nil, e.rejectResponse(ctx, reason)
+	}
+	return response, attemptResult{}
+}
+
+// endUnansweredAttempt ends an attempt to which no response arrived.
+func (e *exchange) endUnansweredAttempt(ctx context.Context, exchangeErr *hwlink.ExchangeError) attemptResult {
+	var withheld *hwlink.WithheldError
+	if errors.As(exchangeErr, &withheld) {
+		return e.endWithheldAttempt(ctx, exchangeErr)
+	}
+	if exchangeErr.MaybeSent {
+		e.executions++
+	} else if ctx.Err() == nil {
+		e.recordConnectFailure()
+	}
+	var broken error
+	if exchangeErr.ConnectionFailed && exchangeErr.MaybeSent {
+		broken = exchangeErr
+	}
+	e.finishAttempt(ctx, true, broken)
+	if exchangeErr.MaybeSent {
+		e.recordExposure()
+	}
+	e.excluded = append(e.excluded, e.choice.Upstream.ID)
+	return attemptResult{
+		outcome: failed,
+		unsent:  !exchangeErr.MaybeSent,
+		cause:   exchangeErr,
 	}
-	return e.bufferAndRelay(ctx, response)
 }
 
 // nonRetryableMaxIdle is the maximum idle time of a connection that is reused for a request that must not be executed twice. Upstreams that drop idle connections without closing them do so after seconds.
@@ -359,13 +375,20 @@
 //
 // An attempt that may use all the remaining time gets no deadline of its own: both deadlines would expire at the same moment, and if the attempt's was seen first, it would be counted as a failure of the upstream.
 func (e *exchange) attemptContext(ctx context.Context, now time.Time) (context.Context, context.CancelFunc) {
-	timeout := max(minAttemptTimeout, time.Duration(attemptTimeoutObjectives*float64(e.route.LatencyObjective)))
-	if e.route.Streaming || !e.route.Idempotent || e.executions+1 >= e.route.MaxAttempts || now.Add(timeout).After(e.deadline) {
+	timeout, limited := e.attemptTimeout(now)
+	if !limited {
 		return context.WithCancel(ctx)
 	}
 	return context.WithTimeout(ctx, timeout)
 }
 
+// attemptTimeout returns the timeout of an attempt that begins now, or false if it may use all the remaining time.
+func (e *exchange) attemptTimeout(now time.Time) (time.Duration, bool) {
+	timeout := max(minAttemptTimeout, time.Duration(attemptTimeoutObjectives*float64(e.route.LatencyObjective)))
+	limited := !e.route.Streaming && e.route.Idempotent && e.executions+1 < e.route.MaxAttempts && !now.Add(timeout).After(e.deadline)
+	return timeout, limited
+}
+
 const (
 	// attemptTimeoutObjectives is the timeout of an attempt as a multiple of the route's latency objective. A later response misses the objective in any case.
 	attemptTimeoutObjectives = 1.5
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -78,6 +78,8 @@
 	shareUsage float64
 	// reservedBytes is the memory that is reserved for the bodies of this exchange, in bytes.
 	reservedBytes int64
+	// hedge describes the second attempt that was sent while the first was running.
+	hedge hedgeState
 }
 
 // ServeHTTP handles one client request.
@@ -289,6 +291,7 @@
 			hwevent.With("read-tokens", e.choice.PrefillTokens),
 		)
 	}
+	fields = append(fields, e.hedge.fields()...)
 	if e.queueWait > 0 || e.shareUsage > 0 {
 		fields = append(fields, hwevent.With("wait-ms", e.queueWait.Milliseconds()), hwevent.With("share-used", e.shareUsage))
 	}
--- a/lib/hwforward/whole.go
+++ b/lib/hwforward/whole.go
@@ -28,12 +28,33 @@
 
 // bufferAndRelay reads a response to its end before relaying it, so that a truncated response never reaches the client.
 func (e *exchange) bufferAndRelay(ctx context.Context, response *hwlink.Response) attemptResult {
+	buffered, failure := e.bufferResponse(ctx, response)
+	if buffered == nil {
+		return failure
+	}
+	e.writeBuffered(buffered)
+	e.proof = buffered.proof()
+	return attemptResult{
+		outcome: done,
+	}
+}
+
+// proof returns what a response to the whole request proves if the upstream survives it.
+func (b *bufferedResponse) proof() hwquarantine.Proof {
+	if b.status < http.StatusMultipleChoices {
+		return hwquarantine.ProvesSegments
+	}
+	return hwquarantine.ProvesRequest
+}
+
+// bufferResponse reads a response to its end and ends the attempt. It returns the response if it may be relayed, and the result of the failed attempt otherwise.
+func (e *exchange) bufferResponse(ctx context.Context, response *hwlink.Response) (*bufferedResponse, attemptResult) {
 	r := e.router
 	body, err := readLimited(response.Body, response.Length, maxResponseBytes, e.reserveMemory)
 	if err != nil {
 		e.finishAttempt(ctx, true, err)
 		e.excluded = append(e.excluded, e.choice.Upstream.ID)
-		return attemptResult{
+		return nil, attemptResult{
 			outcome: failed,
 			cause:   err,
 		}
@@ -49,7 +70,7 @@
 	e.finishAttempt(ctx, serverError, nil)
 	if serverError {
 		e.excluded = append(e.excluded, e.choice.Upstream.ID)
-		return attemptResult{
+		return nil, attemptResult{
 			outcome:  failed,
 			fallback: buffered,
 			cause: &ResponseError{
@@ -57,14 +78,7 @@
 			},
 		}
 	}
-	e.writeBuffered(buffered)
-	e.proof = hwquarantine.ProvesRequest
-	if buffered.status < http.StatusMultipleChoices {
-		e.proof = hwquarantine.ProvesSegments
-	}
-	return attemptResult{
-		outcome: done,
-	}
+	return buffered, attemptResult{}
 }
 
 // rejectionReason returns why nothing of a response may be relayed, whole or as a stream, or an empty string.
