The loser of a hedged stream is tested to stop while the winner goes on

Cause: without the cancellation of the loser all tests passed, because its connection was closed at the end of the request in any case. Two tests hung in place of failing, and one depended on how many retries came before the first hedge.

Change: a test with a winner whose stream goes on for long, one of the half of the retry budget that is kept, handlers that notice that the router has left, and a retry budget in the fixture that retries don't use up.

--- a/lib/hwforward/hedge_limit_test.go
+++ b/lib/hwforward/hedge_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -37,6 +38,8 @@
 // untilSuppressed answers with a stream once a number of hedges have been suppressed for a reason.
 func untilSuppressed(f **fixture, reason hwhedge.Reason, count string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		// The server notices that the router has left only once the body was read.
+		_, _ = io.ReadAll(r.Body)
 		for (*f).suppressedBy(reason) != count && r.Context().Err() == nil {
 			time.Sleep(5 * time.Millisecond)
 		}
@@ -302,3 +305,19 @@
 	assert.Equal(t, "1", f.metric("hickorywick_hedges_won_total"))
 	assert.Contains(t, f.log.String(), `"read-tokens":0`)
 }
+
+// Retries have used up half of the retry budget: the rest is for requests whose upstreams fail.
+func TestHalfOfTheRetryBudgetIsNotForHedges(t *testing.T) {
+	var f *fixture
+	f = newFixtureWith(t, func(s *settings) {
+		s.Hedge = hwhedge.Settings{
+			Ratio: hwhedge.MaxRatio,
+		}
+		// With a balance of 1, a hedge would leave less than half.
+		s.RetryReserve = 1
+	}, inTurn(untilSuppressed(&f, hwhedge.RetryBudget, "1")), inTurn(untilSuppressed(&f, hwhedge.RetryBudget, "1")))
+	f.warm(10)
+	f.router.RecordLatencies(f.clock.now(), "ledger", usualLatency, 100)
+	assert.Equal(t, http.StatusOK, f.call(http.MethodGet, "/resumable/1", "").status)
+	assert.Equal(t, "0", f.metric("hickorywick_hedges_sent_total"))
+}
--- a/lib/hwforward/hedge_test.go
+++ b/lib/hwforward/hedge_test.go
@@ -94,7 +94,8 @@
 		s.Hedge = hwhedge.Settings{
 			Ratio: hwhedge.MaxRatio,
 		}
-		s.RetryReserve = 20
+		// Retries after failures may leave less than half of a small budget before the first hedge.
+		s.RetryReserve = 200
 		s.KeyMaxStaleness = time.Minute
 		s.TableMaxStaleness = time.Minute
 	}, handlers...)
@@ -264,7 +265,8 @@
 
 // The loser has its first event when the winner's stream has begun: none of its events reaches the client, and it is not kept until the end of the stream.
 func TestAStreamThatLosesAfterItsFirstEventIsCut(t *testing.T) {
-	release := make(chan struct{})
+	released := make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
 	var stopped atomic.Int32
 	var arrived sync.WaitGroup
 	arrived.Add(2)
@@ -281,23 +283,55 @@
 		_, _ = fmt.Fprintf(w, ": alive\n\nid: 1\ndata: %s\n\n", r.Header.Get("X-Expect"))
 		w.(http.Flusher).Flush()
 		select {
-		case <-release:
+		case <-released:
 			_, _ = fmt.Fprintf(w, "id: 2\ndata: %s\n\n", r.Header.Get("X-Expect"))
 		case <-r.Context().Done():
 			stopped.Add(1)
 		}
 	}
 	f := newHedgingFixture(t, 2, handler)
+	t.Cleanup(release)
 	ended := make(chan callResult, 1)
 	go func() { ended <- f.call(http.MethodGet, "/resumable/1", "") }()
 	require.Eventually(t, func() bool { return stopped.Load() == 1 }, 2*time.Second, time.Millisecond, "the loser is cut while the winner's stream goes on")
-	close(release)
+	release()
 	got := <-ended
 	assert.True(t, got.complete)
 	upstream := strings.TrimPrefix(got.header.Get("X-Signed"), "sig-of-")
 	assert.Equal(t, fmt.Sprintf(": alive\n\nid: 1\ndata: %s\n\nid: 2\ndata: %s\n\n", upstream, upstream), got.body, "all events come from one run")
 }
 
+// The hedge has won and its stream goes on for long: the first attempt, of which nothing has come, stops within 0.5 s of the first event and no longer counts as running.
+func TestTheLoserIsCutWhileTheWinnersStreamGoesOn(t *testing.T) {
+	released := make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	var stopped atomic.Int32
+	f := newHedgingFixture(t, 2, inTurn(stall(&stopped), func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Signed", "1")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\n")
+		w.(http.Flusher).Flush()
+		<-released
+		_, _ = io.WriteString(w, "id: 2\ndata: 2\n\n")
+	}))
+	t.Cleanup(release)
+	ended := make(chan callResult, 1)
+	go func() { ended <- f.call(http.MethodGet, "/resumable/1", "") }()
+	require.Eventually(t, func() bool { return f.metric("hickorywick_hedges_won_total") == "1" }, 2*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return stopped.Load() == 1 }, 500*time.Millisecond, time.Millisecond)
+	running := func() int {
+		sum := 0
+		for _, load := range f.router.TakePeerUpdate(f.clock.now()).Loads["ledger"] {
+			sum += load.Running
+		}
+		return sum
+	}
+	assert.Eventually(t, func() bool { return running() == 1 }, 500*time.Millisecond, time.Millisecond)
+	release()
+	assert.Equal(t, encodedEvents(1, 2), (<-ended).body)
+}
+
 // The stream of a hedge breaks off. With an attempt left, it is resumed without missing or repeated events.
 func TestABrokenStreamThatWasHedgedIsResumed(t *testing.T) {
 	var stopped atomic.Int32
