--- a/lib/hwforward/hedge_property_test.go
+++ b/lib/hwforward/hedge_property_test.go
@@ -97,8 +97,7 @@
 			counts: map[string]int{},
 		}
 		upstream := randomUpstream(executed, seed)
-		// All requests start at the same moment, and retries after failures come first: a smaller reserve is used up before the first request is late.
-		f := newHedgingFixtureWithReserve(t, 80, 5, func(w http.ResponseWriter, r *http.Request) {
+		f := newHedgingFixture(t, 5, func(w http.ResponseWriter, r *http.Request) {
 			if r.Header.Get("X-Warm") != "" {
 				respondOK(w, r)
 				return
