Member lists between routers are rarer in large fleets

Cause: every fifth update of each router carries the list of all routers, 704 bytes at 88 routers, and the platform prices bytes between zones. Change: one in max(5, peers/4) updates carries it; a router that joins still causes one at once.

--- a/lib/hwfleet/fleet.go
+++ b/lib/hwfleet/fleet.go
@@ -254,7 +254,7 @@
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	f.sequence++
-	withMembers := f.sequence%updatesPerMemberList == 1 || f.memberJoined
+	withMembers := f.sequence%memberListInterval(len(f.peers)) == 1 || f.memberJoined
 	f.memberJoined = false
 	datagram.Router = f.settings.Router
 	datagram.Boot = f.settings.Boot
@@ -289,9 +289,17 @@
 	return targets
 }
 
-// updatesPerMemberList is how many updates are sent for each one that includes the member list and also goes to silent seeds.
+// updatesPerMemberList is how many updates are sent for each one that includes the member list and also goes to silent seeds, unless the fleet is large.
 const updatesPerMemberList = 5
 
+// peersPerUpdate makes a member list rarer as it grows, so that lists take a bounded part of the datagrams: every peer sends one, and a router that joins causes another.
+const peersPerUpdate = 4
+
+// memberListInterval returns how many updates are sent for each one that includes the member list.
+func memberListInterval(peers int) uint64 {
+	return uint64(max(updatesPerMemberList, peers/peersPerUpdate))
+}
+
 // Listen opens a UDP socket over IPv4.
 func Listen(ctx context.Context, address string) (net.PacketConn, error) {
 	var config net.ListenConfig
