--- a/lib/hwforward/cold_test.go
+++ b/lib/hwforward/cold_test.go
@@ -223,3 +223,25 @@
 		assert.Equal(t, http.StatusOK, f.call(http.MethodPost, "/order/1", "x").status)
 	}
 }
+
+// The operators may have restarted what runs in an evacuated zone, and its registrations show that only later: the whole fleet sent to the restored zone as to a warm one.
+func TestUpstreamsOfARestoredZoneCountAsCold(t *testing.T) {
+	f := newColdFixture(t, -1, respondOK)
+	list := slices.Clone(f.list)
+	list[0].Zone = "zone-a"
+	f.router.SetUpstreams(f.clock.now(), list, hwplace.EvacuatedZones{
+		Revision: 10,
+		Zones:    []string{"zone-a"},
+	})
+	assert.Equal(t, http.StatusServiceUnavailable, f.call(http.MethodGet, "/safe/1", "").status)
+	f.router.SetUpstreams(f.clock.now(), list, hwplace.EvacuatedZones{
+		Revision: 11,
+	})
+	refused := f.call(http.MethodGet, "/safe/1", "")
+	assert.Equal(t, http.StatusServiceUnavailable, refused.status)
+	assert.Contains(t, refused.body, "cold")
+	assert.Zero(t, f.totalRequests())
+	// coldStartS and two heartbeats.
+	f.run(5100*time.Millisecond, 0)
+	assert.Equal(t, http.StatusOK, f.call(http.MethodGet, "/safe/1", "").status)
+}
