--- a/lib/hwfleet/pace_test.go
+++ b/lib/hwfleet/pace_test.go
@@ -50,7 +50,7 @@
 	assert.False(t, alone.IsBackup(now), "a router alone is its own reader and has no backup")
 }
 
-// In a fleet of 88 routers member lists were a third of all bytes between routers: each grows with the fleet, and every router sent one in every fifth update.
+// In a fleet of 88 routers member lists were a quarter of the bytes between zones: each grows with the fleet, and every router sent one in every fifth update.
 func TestMemberListsAreRarerInLargeFleets(t *testing.T) {
 	for peers, interval := range map[int]uint64{0: 5, 4: 5, 23: 5, 31: 7, 87: 21, 359: 89} {
 		assert.Equal(t, interval, memberListInterval(peers), "%d peers", peers)
