--- a/review/rig-2/outage.go
+++ b/review/rig-2/outage.go
@@ -19,7 +19,7 @@
 	outageRuns  = 9
 	// arrivalMargin is the least time after the end of contactMs from which an arrival counts.
 	arrivalMargin = 10 * time.Millisecond
-	outageClients = 120
+	outageClients = 240
 )
 
 // outageRetainsGone: a replica leaves without a word just before an outage of the store. Once the routers are in touch again, requests must not reach it.
@@ -47,7 +47,7 @@
 				lock.Lock()
 				sentBy[id] = r
 				lock.Unlock()
-				answer := g.send(r, call{method: http.MethodPost, path: "/redeem/visitor?work=300", body: fmt.Sprintf("redeem %d-%d", i, n), key: "key-cellar", timeout: 4 * time.Second, requestID: id})
+				answer := g.send(r, call{method: http.MethodPost, path: "/redeem/visitor?work=600", body: fmt.Sprintf("redeem %d-%d", i, n), key: "key-cellar", timeout: 4 * time.Second, requestID: id})
 				lock.Lock()
 				status[id] = answer.status
 				lock.Unlock()
