--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,13 +24,21 @@
 	}
 }
 
+var streamingRoute = map[string]any{
+	"name": "draft", "host": "app.example", "prefix": "/draft/", "kind": "streaming", "service": "pool", "timeoutMs": 6000, "sloMs": 1000, "gapAimMs": 300,
+	"maxAttempts": 1, "priority": 1, "public": false, "sessionAffinity": true,
+}
+
 func config(version int, tenants []map[string]any) map[string]any {
 	return map[string]any{
-		"version":  version,
-		"routes":   []any{ledgerRoute("redeem", "/redeem/", "unsafe"), ledgerRoute("balance", "/balance/", "safe")},
-		"services": []any{map[string]any{"name": "ledger", "healthPath": "/health", "maxConns": 110}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "tokensPerS": 100000},
-		"tenants":  tenants,
+		"version": version,
+		"routes":  []any{ledgerRoute("redeem", "/redeem/", "unsafe"), ledgerRoute("balance", "/balance/", "safe"), streamingRoute},
+		"services": []any{
+			map[string]any{"name": "ledger", "healthPath": "/health", "maxConns": 110},
+			map[string]any{"name": "pool", "healthPath": "/health", "maxConns": 370, "engine": map[string]any{"slots": 64, "kvTokens": 542364}},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "tokensPerS": 100000},
+		"tenants": tenants,
 	}
 }
 
@@ -38,7 +48,11 @@
 
 // startSmall starts a small deployment: routers, and the replicas of a plain service. The configuration must be in the store.
 func startSmall(g *rig, routers, replicas, slots int) error {
-	if err := g.addReplicas("ledger", replicas, slots); err != nil {
+	service := "ledger"
+	if g.engines {
+		service, slots = "pool", 64
+	}
+	if err := g.addReplicas(service, replicas, slots); err != nil {
 		return err
 	}
 	if err := g.addRouters(routers); err != nil {
@@ -58,7 +72,11 @@
 	// killAfter is when the routers are killed, if they are, and crashingTime when the case ends.
 	killAfter    = 13 * time.Second
 	crashingTime = 29 * time.Second
-	crashBody    = "redeem 17 tokens of visitor 4711"
+	// For the part of a prompt, of which five crashes are needed, the routers are killed twice.
+	firstKillAfter  = 7 * time.Second
+	secondKillAfter = 19 * time.Second
+	deadlyPartTime  = 35 * time.Second
+	crashBody       = "redeem 17 tokens of visitor 4711"
 	// allowedRetries is what the rule allows.
 	allowedRetries = 3
 	// otherClients is the number of clients that send other requests all the while.
@@ -94,15 +112,45 @@
 	return sendCrashingRequest(g, func() error { return nil })
 }
 
-// sendCrashingRequest sends a request that crashes replicas once at each router, every six seconds, beside other requests, and counts where it arrives. Parameter disrupt is called once.
+// sendCrashingRequest sends a request that crashes replicas once at each router, every six seconds, beside other requests, and counts where it arrives.
 func sendCrashingRequest(g *rig, disrupt func() error) (bool, error) {
+	return sendCrashing(g, 3, crashingTime, []time.Duration{killAfter}, func(int) call {
+		return call{method: http.MethodPost, path: "/redeem/visitor", body: crashBody, key: "key-cellar", timeout: 4 * time.Second}
+	}, func(client, number int) call {
+		return call{method: http.MethodPost, path: "/redeem/other?work=200", body: fmt.Sprintf("redeem %d-%d", client, number), key: "key-bar", timeout: 4 * time.Second}
+	}, func(e execution) bool { return e.body == crashBody }, disrupt)
+}
+
+// deadlyPart: requests with one part in their prompts, no two alike, crash each engine that begins to write an answer on them. All routers are killed twice and start again.
+func deadlyPart(g *rig, trouble bool) (bool, error) {
+	g.engines = true
+	prompt := func(part string) string { return fmt.Sprintf("5c1e07a2:800,%s:410,%s:250", part, newRequestID()) }
+	draft := func(body, parts string) call {
+		return call{method: http.MethodPost, path: "/draft/1?work=300", body: body, key: "key-cellar", timeout: 6 * time.Second, prefix: parts}
+	}
+	return sendCrashing(g, 5, deadlyPartTime, []time.Duration{firstKillAfter, secondKillAfter}, func(n int) call {
+		return draft(fmt.Sprintf("draft with the part, number %d", n), prompt(deadlyPartID))
+	}, func(client, number int) call {
+		return draft(fmt.Sprintf("draft %d-%d", client, number), prompt(fmt.Sprintf("a%07x", number%50)))
+	}, func(e execution) bool { return strings.Contains(e.prefix, deadlyPartID) }, func() error {
+		if !trouble {
+			return nil
+		}
+		return g.killAll()
+	})
+}
+
+const deadlyPartID = "91bd3f06"
+
+// sendCrashing is sendCrashingRequest for requests of any kind. Arrivals count from contactMs after the crash with the given number. Parameter disrupt is called at the given times.
+func sendCrashing(g *rig, fromCrash int, length time.Duration, disruptAfter []time.Duration, crashing func(number int) call, other func(client, number int) call, crashes func(execution) bool, disrupt func() error) (bool, error) {
 	var lock sync.Mutex
 	var hits []hit
 	// sentBy keeps which router got which copy of the request, crashed when each address went down.
 	sentBy := map[string]*router{}
 	var crashedAt []time.Time
 	g.crashes = func(e execution) bool {
-		if e.body != crashBody {
+		if !crashes(e) {
 			return false
 		}
 		lock.Lock()
@@ -132,7 +180,7 @@
 					return
 				case <-time.After(100 * time.Millisecond):
 				}
-				answer := g.send(g.routers[n%len(g.routers)], call{method: http.MethodPost, path: "/redeem/other?work=200", body: fmt.Sprintf("redeem %d-%d", i, n), key: "key-bar", timeout: 4 * time.Second})
+				answer := g.send(g.routers[n%len(g.routers)], other(i, n))
 				switch {
 				case answer.err == nil && answer.status == http.StatusOK:
 					served.Add(1)
@@ -144,17 +192,23 @@
 	}
 	disrupted := make(chan error, 1)
 	go func() {
-		time.Sleep(time.Until(begin.Add(killAfter)))
-		disrupted <- disrupt()
+		var failure error
+		for _, after := range disruptAfter {
+			time.Sleep(time.Until(begin.Add(after)))
+			failure = errors.Join(failure, disrupt())
+		}
+		disrupted <- failure
 	}()
-	for n := 0; time.Since(begin) < crashingTime; n++ {
-		for _, r := range g.routers {
+	for n := 0; time.Since(begin) < length; n++ {
+		for i, r := range g.routers {
 			id := newRequestID()
 			lock.Lock()
 			sentBy[id] = r
 			lock.Unlock()
 			clients.Go(func() {
-				g.send(r, call{method: http.MethodPost, path: "/redeem/visitor", body: crashBody, key: "key-cellar", timeout: 4 * time.Second, requestID: id})
+				c := crashing(4*n + i)
+				c.requestID = id
+				g.send(r, c)
 			})
 		}
 		time.Sleep(time.Until(begin.Add(time.Duration(n+1) * returnInterval)))
@@ -166,11 +220,11 @@
 	clients.Wait()
 	lock.Lock()
 	defer lock.Unlock()
-	if len(crashedAt) < 3 {
+	if len(crashedAt) < fromCrash {
 		g.record.tee("the request has crashed %d replicas only", len(crashedAt))
 		return false, nil
 	}
-	from := crashedAt[2].Add(contactTime)
+	from := crashedAt[fromCrash-1].Add(contactTime)
 	counted := 0
 	for _, h := range hits {
 		inTouch := h.at.Sub(h.startedAt) > contactTime
@@ -180,9 +234,9 @@
 		}
 		g.record.tee("reaches replica %s at %.2f s from %s, %.1f s after the start of its process, counted: %v", h.replica, h.at.Sub(begin).Seconds(), h.router.name, h.at.Sub(h.startedAt).Seconds(), late && inTouch)
 	}
-	g.record.tee("replicas crashed: %d, the third at %.2f s", len(crashedAt), crashedAt[2].Sub(begin).Seconds())
-	g.record.tee("retries that reached replicas later than contactMs after that, from routers in touch: %d, allowed %d", counted, allowedRetries)
-	g.record.tee("other requests: %d served, %d unsafe ones answered 502 (they may have run)", served.Load(), lost.Load())
+	g.record.tee("replicas crashed: %d, number %d at %.2f s", len(crashedAt), fromCrash, crashedAt[fromCrash-1].Sub(begin).Seconds())
+	g.record.tee("requests that reached replicas later than contactMs after that, from routers in touch: %d, allowed %d", counted, allowedRetries)
+	g.record.tee("other requests: %d served, %d answered 502 (they may have run)", served.Load(), lost.Load())
 	return counted > allowedRetries, nil
 }
 
--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -21,6 +21,8 @@
 	key       string
 	timeout   time.Duration
 	requestID string
+	// prefix lists the parts of the prompt, or is empty.
+	prefix string
 }
 
 // result is what the client saw.
@@ -59,6 +61,9 @@
 	if c.key != "" {
 		fmt.Fprintf(&b, "Authorization: Token %s\r\n", c.key)
 	}
+	if c.prefix != "" {
+		fmt.Fprintf(&b, "X-Hickorywick-Model: m\r\nX-Hickorywick-Token-Usage: 1460,80\r\nX-Hickorywick-Prefix-Hash: %s\r\n", c.prefix)
+	}
 	if c.method != http.MethodGet {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(c.body))
 	}
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -21,6 +21,7 @@
 // cases are the cases by name. A case returns whether the rule was broken.
 var cases = map[string]func(g *rig, trouble bool) (bool, error){
 	"crashing-request": crashingRequest,
+	"deadly-part":      deadlyPart,
 	"stale-seeds":      staleSeeds,
 	"last-tenant":      lastTenant,
 	"outage":           outageRetainsGone,
--- a/review/rig-2/replica.go
+++ b/review/rig-2/replica.go
@@ -101,6 +101,9 @@
 			"service": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": p.slots,
 			"state": "ready", "coldRemainingMs": 0, "sequence": p.sequence, "born": p.born,
 		}
+		if p.rig.engines {
+			entry["models"] = []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
+		}
 		p.lock.Unlock()
 		if !p.rig.store.isSilent() {
 			p.rig.store.put("servers/"+id, entry)
@@ -167,6 +170,10 @@
 		w.Header().Set("X-Hickorywick-Instance-Id", id)
 		return
 	}
+	if r.URL.Path == "/hickorywick/kv-list" {
+		_, _ = io.WriteString(w, `{"epoch":1,"next":1,"held":[]}`)
+		return
+	}
 	if expected := r.Header.Get("X-Hickorywick-Expect-Instance"); expected != "" && expected != id {
 		w.Header().Set("X-Hickorywick-Instance-Id", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -195,6 +202,7 @@
 	run := execution{
 		at: time.Now(), requestID: requestID, replica: id, address: p.address, service: p.service, tenant: r.Header.Get("X-Hickorywick-Tenant"),
 		key: r.Header.Get("Authorization"), path: r.URL.Path, body: string(body), method: r.Method,
+		prefix: r.Header.Get("X-Hickorywick-Prefix-Hash"),
 	}
 	p.rig.recordRun(run)
 	if p.rig.crashes != nil && p.rig.crashes(run) {
@@ -209,6 +217,16 @@
 	if !sleep(r.Context(), work) {
 		return
 	}
+	if p.rig.engines {
+		w.Header().Set("X-Hickorywick-Response-Signature", "sig."+id+"."+requestID)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for n := range 10 {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n+1, requestID); err != nil || http.NewResponseController(w).Flush() != nil || !sleep(r.Context(), 30*time.Millisecond) {
+				return
+			}
+		}
+		return
+	}
 	answer := bytes.Repeat([]byte("answer to "+requestID+" "), 20)
 	w.Header().Set("X-Hickorywick-Response-Signature", "sig."+id+"."+requestID)
 	w.Header().Set("X-Hickorywick-Replica-Load", load)
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -30,6 +30,7 @@
 	method    string
 	path      string
 	body      string
+	prefix    string
 }
 
 type ports struct{ front, ready, control, fleet int }
@@ -45,6 +46,8 @@
 	routers []*router
 	// seeds are the seeds in the settings of all routers; if there are none, the first three routers are the seeds.
 	seeds []string
+	// engines makes the replicas engines, which answer with streams.
+	engines bool
 
 	// crashes reports whether a replica crashes when it begins to run a request, and crashDown is how long it is away then.
 	crashes   func(execution) bool
