hwlink: a response whose status is not between 100 and 599 is refused

Callers saw: a replica's response with status 000 was skipped and whatever followed it came as the response; with nothing behind it and the connection kept, callers waited until their time was over (504). A status from 600 on reached them as it was. Cause: hwlink took every status below 200 for an interim response; net/http parses any three digits, and even "+20". Ruled out: net/http refusing such heads by itself; it accepts 000 to 999. Change: hwresponse.CheckHead judges each head that hwlink reads, interim and skipped ones too. 101 is refused as well, because no request asks for another protocol and what follows it is not HTTP. Why it works: the head is refused before its status is used, so nothing behind it is read, the caller hears 502 at once or is served by another replica, and the connection is closed. Evidence: TestAResponseWithAnInvalidStatusIsNeverRelayed failed in all 21 cases on the code before and passes now; TestAnUnusualValidResponseIsRelayed passes on both.

--- /dev/null
+++ b/lib/hwforward/broken_response_test.go
@@ -0,0 +1,185 @@
+package hwforward_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorywick/hickorywick/lib/hwplace"
+)
+
+// byteUpstream is an upstream that writes its responses byte by byte, which net/http's server would not let it do.
+type byteUpstream struct {
+	address string
+	// connections and requests count what it has accepted and read.
+	connections atomic.Int32
+	requests    atomic.Int32
+}
+
+// startByteUpstream starts an upstream that calls respond for each request head. The connection is closed when respond returns false.
+func startByteUpstream(t *testing.T, respond func(conn *net.TCPConn, request *http.Request) bool) *byteUpstream {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	u := &byteUpstream{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.AcceptTCP()
+			if err != nil {
+				return
+			}
+			u.connections.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					u.requests.Add(1)
+					if !respond(conn, request) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return u
+}
+
+// respondBytes returns a function for startByteUpstream that reads the whole request, writes the bytes with %ID% replaced by the request's ID, and keeps the connection.
+func respondBytes(response string) func(*net.TCPConn, *http.Request) bool {
+	return func(conn *net.TCPConn, request *http.Request) bool {
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, err := io.WriteString(conn, strings.ReplaceAll(response, "%ID%", request.Header.Get("X-Id")))
+		return err == nil
+	}
+}
+
+// replaceUpstream makes a byte upstream take the place of the one with the given index.
+func (f *fixture) replaceUpstream(index int, u *byteUpstream) {
+	f.list[index].Address = u.address
+	f.router.SetUpstreams(f.clock.now(), f.list, hwplace.EvacuatedZones{})
+}
+
+// goodHead is the head of a valid response up to its framing.
+const goodHead = "HTTP/1.1 200 OK\r\nX-Id: %ID%\r\nX-Signed: 1\r\nContent-Type: text/event-stream\r\n"
+
+// goodResponse is valid as a whole response and as an event stream.
+const goodResponse = goodHead + "Content-Length: 15\r\n\r\nid: 1\ndata: 1\n\n"
+
+// promptly is far less than the time for which the router waits for a response that does not come.
+const promptly = time.Second
+
+// assertNeverRelayed checks for every way in which a response can reach a client that a broken one never does, that the client hears of it at once, and that the connection is not used again.
+func assertNeverRelayed(t *testing.T, broken, reason string) {
+	t.Helper()
+	for _, path := range []string{"/order/1", "/safe/1", "/stream/1", "/resumable/1"} {
+		f := newFixture(t, respondOK)
+		upstream := startByteUpstream(t, respondBytes(broken))
+		f.replaceUpstream(0, upstream)
+		for range 2 {
+			beganAt := time.Now()
+			got := f.call(http.MethodPost, path, "x")
+			assert.Equal(t, http.StatusBadGateway, got.status, "%s: body %q, header %v", path, got.body, got.header)
+			assert.Less(t, time.Since(beganAt), promptly, path)
+		}
+		assert.Equal(t, upstream.requests.Load(), upstream.connections.Load(), "%s: a connection with a broken response was used again", path)
+		assert.Contains(t, f.log.String(), reason, path)
+		assert.Contains(t, f.log.String(), "upstream-failed", path)
+	}
+	t.Run("another upstream", func(t *testing.T) {
+		f := newFixture(t, respondOK, respondOK)
+		f.replaceUpstream(0, startByteUpstream(t, respondBytes(broken)))
+		for range 4 {
+			got := f.call(http.MethodPost, "/safe/1", "x")
+			assert.Equal(t, http.StatusOK, got.status)
+			assert.Equal(t, "good /safe/1", got.body)
+		}
+	})
+	t.Run("continuation", func(t *testing.T) {
+		f := newFixture(t, respondOK)
+		f.replaceUpstream(0, startByteUpstream(t, func(conn *net.TCPConn, request *http.Request) bool {
+			if request.Header.Get("Last-Event-Id") != "" {
+				return respondBytes(broken)(conn, request)
+			}
+			respondBytes(goodHead + "Connection: close\r\nContent-Length: 100\r\n\r\n" + encodedEvents(1, 3))(conn, request)
+			return false
+		}))
+		got := f.call(http.MethodPost, "/resumable/1", "x")
+		assert.Equal(t, encodedEvents(1, 3), got.body)
+		assert.False(t, got.complete)
+	})
+	t.Run("skipped", func(t *testing.T) {
+		f := newFixture(t, respondOK)
+		first := true
+		f.replaceUpstream(0, startByteUpstream(t, func(conn *net.TCPConn, request *http.Request) bool {
+			if first {
+				first = false
+				return respondBytes(goodResponse)(conn, request)
+			}
+			return respondBytes(strings.ReplaceAll(broken, "%ID%", "another")+goodResponse)(conn, request)
+		}))
+		assert.Equal(t, http.StatusOK, f.call(http.MethodPost, "/order/1", "x").status)
+		assert.Equal(t, http.StatusBadGateway, f.call(http.MethodPost, "/order/1", "x").status, "what follows a broken response can't be told from its body")
+	})
+}
+
+// An upstream sent the status 000. It was taken for an interim response: the client got what followed as the response, or waited until its time was over.
+func TestAResponseWithAnInvalidStatusIsNeverRelayed(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "101", "600", "999"} {
+		for name, rest := range map[string]string{
+			"alone":                     "",
+			"before a response":         goodResponse,
+			"before an interim and one": "HTTP/1.1 103 Early Hints\r\n\r\n" + goodResponse,
+		} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				t.Parallel()
+				assertNeverRelayed(t, "HTTP/1.1 "+status+" Trouble\r\nX-Id: %ID%\r\nX-Signed: 1\r\nContent-Length: 0\r\n\r\n"+rest, "status")
+			})
+		}
+	}
+}
+
+// What the checks of responses must let pass, although it is unusual.
+func TestAnUnusualValidResponseIsRelayed(t *testing.T) {
+	const events = "id: 1\ndata: 1\n\n"
+	for name, response := range map[string]string{
+		"interim responses":       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 199 x\r\n\r\n" + goodResponse,
+		"no reason phrase":        strings.Replace(goodResponse, "200 OK", "200", 1),
+		"an empty reason phrase":  strings.Replace(goodResponse, "200 OK", "200 ", 1),
+		"lines without a CR":      strings.ReplaceAll(goodResponse, "\r\n", "\n"),
+		"a folded line":           goodHead + "X-Note: a\r\n b\r\nContent-Length: 15\r\n\r\n" + events,
+		"blanks around a value":   goodHead + "Content-Length: \t 15 \t\r\n\r\n" + events,
+		"a name of all tchars":    goodHead + "!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 15\r\n\r\n" + events,
+		"a trailer":               goodHead + "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\nf\r\n" + events + "\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"an unannounced trailer":  goodHead + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + events + "\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"a body until the close":  goodHead + "Connection: close\r\n\r\n" + events,
+		"HTTP/1.0 without length": strings.Replace(goodHead, "HTTP/1.1", "HTTP/1.0", 1) + "\r\n" + events,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, path := range []string{"/order/1", "/stream/1", "/resumable/1"} {
+				f := newFixture(t, respondOK)
+				f.replaceUpstream(0, startByteUpstream(t, func(conn *net.TCPConn, request *http.Request) bool {
+					respondBytes(response)(conn, request)
+					return false
+				}))
+				got := f.call(http.MethodPost, path, "x")
+				assert.Equal(t, http.StatusOK, got.status, path)
+				assert.Equal(t, events, got.body, path)
+				assert.True(t, got.complete, path)
+			}
+		})
+	}
+}
--- a/lib/hwlink/bound.go
+++ b/lib/hwlink/bound.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"strconv"
+
+	"github.com/hickorywick/hickorywick/lib/hwresponse"
 )
 
 // Limits on what an upstream may send before the body of a response. A response beyond one of them is invalid, and its connection is closed.
@@ -58,7 +60,11 @@
 			return nil, &FramingError{
 				Problem: "more than " + strconv.Itoa(maxHeaderFields) + " header fields",
 			}
-		case response.StatusCode >= http.StatusOK:
+		}
+		if err := hwresponse.CheckHead(response.StatusCode); err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
