hwlink: a response with a field name that is not a token is refused

Callers saw: an answer in whose head a field's name held a blank, inside or before the colon, came as a success without that line. Where the name was meant as a length or as chunks, the body had other bounds than the replica's: chunk sizes came as content, a second response came as part of the first one's body or in the middle of a resumed stream, or callers waited until their time was over (504). Cause: net/http keeps a field whose name holds a blank under that name. Neither framing nor anything else recognises the field, and it is lost on the way to the caller. Ruled out: control bytes in names and values, bytes above ASCII, separators and empty names; net/http refuses these, and a test keeps it so. Change: CheckHead refuses every name that is not a token (golang.org/x/net/http/httpguts), in interim, skipped and final heads; hwresponse.Body refuses such a trailer at the end of the body. Why it works: the connection is given up before anything of the body is interpreted, so no bounds are guessed.

--- a/lib/hwforward/broken_response_test.go
+++ b/lib/hwforward/broken_response_test.go
@@ -113,7 +113,7 @@
 			if request.Header.Get("Last-Event-Id") != "" {
 				return respondBytes(broken)(conn, request)
 			}
-			respondBytes(goodHead + "Connection: close\r\nContent-Length: 100\r\n\r\n" + encodedEvents(1, 3))(conn, request)
+			respondBytes(goodHead+"Connection: close\r\nContent-Length: 100\r\n\r\n"+encodedEvents(1, 3))(conn, request)
 			return false
 		}))
 		got := f.call(http.MethodPost, "/resumable/1", "x")
@@ -151,6 +151,93 @@
 	}
 }
 
+// An upstream sent a field whose name holds a blank. The line was dropped and the client got the rest as a success; where the name was that of a length or of chunks, the body had other bounds than the upstream's.
+func TestAResponseWithAnInvalidFieldNameIsNeverRelayed(t *testing.T) {
+	const events = "id: 1\ndata: 1\n\n"
+	for name, broken := range map[string]string{
+		"blank inside a name":             goodHead + "X Note: 1\r\nContent-Length: 15\r\n\r\n" + events,
+		"blank before the colon":          goodHead + "X-Note : 1\r\nContent-Length: 15\r\n\r\n" + events,
+		"blank in a line without a CR":    strings.ReplaceAll(goodHead, "\r\n", "\n") + "X-Note : 1\nContent-Length: 15\n\n" + events,
+		"length with a blank":             goodHead + "Content-Length : 15\r\n\r\n" + events,
+		"length with a blank, then a 200": goodHead + "Content-Length : 15\r\n\r\n" + events + goodResponse,
+		"chunks with a blank":             goodHead + "Transfer-Encoding : chunked\r\n\r\nf\r\n" + events + "\r\n0\r\n\r\n",
+		"chunks with a blank, and length": goodHead + "Transfer-Encoding : chunked\r\nContent-Length: 22\r\n\r\nf\r\n" + events + "\r\n0\r\n\r\n",
+		"only a blank in an interim name": "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n" + goodResponse,
+		"length with a blank in interim":  "HTTP/1.1 100 Continue\r\nContent-Length : 15\r\n\r\n" + goodResponse,
+		"blank in a second interim name":  "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n" + goodResponse,
+		"blank in a name without a body":  "HTTP/1.1 204 No Content\r\nX-Id: %ID%\r\nX-Signed: 1\r\nX Note: 1\r\n\r\n",
+		"blank in a name of an error":     "HTTP/1.1 404 Not Found\r\nX-Id: %ID%\r\nX Note: 1\r\nContent-Length: 4\r\n\r\ngone",
+		"blank in a name of a refusal":    "HTTP/1.1 503 Busy\r\nX-Id: %ID%\r\nX-Not-Run : 1\r\nContent-Length: 4\r\n\r\nbusy",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			assertNeverRelayed(t, broken, "is not a token")
+		})
+	}
+}
+
+// net/http refuses all of these by itself.
+func TestAMalformedFieldIsNeverRelayed(t *testing.T) {
+	const events = "id: 1\ndata: 1\n\n"
+	for name, broken := range map[string]string{
+		"tab before the colon":            goodHead + "X-Note\t: 1\r\nContent-Length: 15\r\n\r\n" + events,
+		"control byte in a name":          goodHead + "X-\x01Note: 1\r\nContent-Length: 15\r\n\r\n" + events,
+		"zero byte in a name":             goodHead + "X-\x00Note: 1\r\nContent-Length: 15\r\n\r\n" + events,
+		"CR in a name":                    goodHead + "X-\rNote: 1\r\nContent-Length: 15\r\n\r\n" + events,
+		"DEL in a name":                   goodHead + "X-\x7fNote: 1\r\nContent-Length: 15\r\n\r\n" + events,
+		"byte above ASCII in a name":      goodHead + "X-\xe9Note: 1\r\nContent-Length: 15\r\n\r\n" + events,
+		"separator in a name":             goodHead + "X(Note): 1\r\nContent-Length: 15\r\n\r\n" + events,
+		"empty name":                      goodHead + ": 1\r\nContent-Length: 15\r\n\r\n" + events,
+		"blank as name":                   "HTTP/1.1 200 OK\r\n : 1\r\nX-Id: %ID%\r\nX-Signed: 1\r\nContent-Length: 15\r\n\r\n" + events,
+		"control byte in a value":         goodHead + "X-Note: a\x01b\r\nContent-Length: 15\r\n\r\n" + events,
+		"zero byte in a value":            goodHead + "X-Note: a\x00b\r\nContent-Length: 15\r\n\r\n" + events,
+		"control byte in an interim name": "HTTP/1.1 103 Early Hints\r\nX-\x01Note: 1\r\n\r\n" + goodResponse,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			assertNeverRelayed(t, broken, "malformed MIME header")
+		})
+	}
+}
+
+// The fields after the last chunk are judged like those of the head. A stream has reached the client by then, so it is broken off.
+func TestAnInvalidTrailerBreaksTheResponse(t *testing.T) {
+	const events = "id: 1\ndata: 1\n\n"
+	for name, line := range map[string]string{
+		"blank inside a name":    "X Sum: 1",
+		"blank before the colon": "X-Sum : 1",
+		"control byte in a name": "X-\x01Sum: 1",
+		"empty name":             ": 1",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			broken := goodHead + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + events + "\r\n0\r\n" + line + "\r\n\r\n"
+			for _, path := range []string{"/order/1", "/safe/1", "/stream/1", "/resumable/1"} {
+				f := newFixture(t, respondOK)
+				upstream := startByteUpstream(t, respondBytes(broken))
+				f.replaceUpstream(0, upstream)
+				for range 2 {
+					got := f.call(http.MethodPost, path, "x")
+					assert.False(t, got.status == http.StatusOK && got.complete, "%s: %q", path, got.body)
+				}
+				assert.Equal(t, upstream.requests.Load(), upstream.connections.Load(), "%s: a connection with a broken response was used again", path)
+				assert.Contains(t, f.log.String(), "upstream-failed", path)
+			}
+			f := newFixture(t, respondOK)
+			first := true
+			f.replaceUpstream(0, startByteUpstream(t, func(conn *net.TCPConn, request *http.Request) bool {
+				if first {
+					first = false
+					return respondBytes(goodResponse)(conn, request)
+				}
+				return respondBytes(strings.ReplaceAll(broken, "%ID%", "another")+goodResponse)(conn, request)
+			}))
+			assert.Equal(t, http.StatusOK, f.call(http.MethodPost, "/order/1", "x").status)
+			assert.Equal(t, http.StatusBadGateway, f.call(http.MethodPost, "/order/1", "x").status, "a skipped response with a broken trailer")
+		})
+	}
+}
+
 // What the checks of responses must let pass, although it is unusual.
 func TestAnUnusualValidResponseIsRelayed(t *testing.T) {
 	const events = "id: 1\ndata: 1\n\n"
--- a/lib/hwlink/bound.go
+++ b/lib/hwlink/bound.go
@@ -61,7 +61,7 @@
 				Problem: "more than " + strconv.Itoa(maxHeaderFields) + " header fields",
 			}
 		}
-		if err := hwresponse.CheckHead(response.StatusCode); err != nil {
+		if err := hwresponse.CheckHead(response.StatusCode, response.Header); err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
--- a/lib/hwlink/link.go
+++ b/lib/hwlink/link.go
@@ -19,6 +19,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/hickorywick/hickorywick/lib/hwresponse"
 	"github.com/hickorywick/hickorywick/lib/hwtask"
 )
 
@@ -347,7 +348,7 @@
 			Got:  echoedID,
 		}, false)
 		mismatch.IDMismatch = true
-		if skipped >= maxSkippedResponses || echoedID == "" || isCloseDelimited(response, resp.request.Method) || !drain(response.Body, maxSkippedBodyBytes) {
+		if skipped >= maxSkippedResponses || echoedID == "" || isCloseDelimited(response, resp.request.Method) || !drain(hwresponse.NewBody(response), maxSkippedBodyBytes) {
 			return mismatch
 		}
 	}
@@ -374,7 +375,7 @@
 	resp.Status = response.StatusCode
 	resp.Header = response.Header
 	resp.Length = response.ContentLength
-	resp.Body = response.Body
+	resp.Body = hwresponse.NewBody(response)
 	resp.connectionClose = response.Close
 	resp.closeDelimited = isCloseDelimited(response, resp.request.Method)
 }
--- a/lib/hwresponse/head.go
+++ b/lib/hwresponse/head.go
@@ -4,6 +4,8 @@
 import (
 	"net/http"
 	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // HeadError reports that the head of a response is invalid.
@@ -18,7 +20,7 @@
 const maxStatus = 599
 
 // CheckHead returns a *HeadError if a response head that net/http has parsed is invalid, be it interim or final.
-func CheckHead(status int) error {
+func CheckHead(status int, header http.Header) error {
 	switch {
 	case status < http.StatusContinue || status > maxStatus:
 		return &HeadError{
@@ -30,6 +32,19 @@
 			Problem: "status 101 without a request to switch protocols",
 		}
 	default:
-		return nil
+		return checkNames(header)
+	}
+}
+
+// checkNames returns a *HeadError if the name of a field is not a token (RFC 9110, section 5.1). net/http keeps a field whose name holds a blank under that name, so that neither its framing nor the removal of hop-by-hop fields recognises it.
+func checkNames(header http.Header) error {
+	for name, values := range header {
+		// net/http also lists the trailer fields that were announced and not sent, without values.
+		if values != nil && !httpguts.ValidHeaderFieldName(name) {
+			return &HeadError{
+				Problem: "the field name " + strconv.Quote(name) + " is not a token",
+			}
+		}
 	}
+	return nil
 }
