hwlink: a body that ends with the connection is complete only if the upstream had the whole request

Callers saw: a replica answered a long upload at once, without a length, and reset the connection after a part of the body; the part came as a complete answer. The same with a close, or a close of its own direction, that leaves the upload unread, for 200 and 404, whole answers, streams and resumed streams. Cause: a socket reports a reset once. If the task that writes the upload takes the error, the reader sees a regular end, which marks the end of such a body. A close that arrives before the reset looks regular to both. Ruled out: bodies with a length or chunks, whose end net/http checks itself; requests that are written in one piece, where a reset is left for the reader (a half-close was taken there, too). Change: at the end of such a body, hwlink ends the write of the request and takes its result, then asks the socket for bytes that the upstream has not acknowledged (SIOCOUTQ). A failed write or unacknowledged bytes make the body a broken one. Why it works: an upstream that has read the whole request acknowledges its last byte no later than with the segment that ends the connection, so the check needs no waiting and no time bound, and healthy answers can't fail it.

--- a/lib/hwforward/broken_response_test.go
+++ b/lib/hwforward/broken_response_test.go
@@ -27,9 +27,23 @@
 // startByteUpstream starts an upstream that calls respond for each request head. The connection is closed when respond returns false.
 func startByteUpstream(t *testing.T, respond func(conn *net.TCPConn, request *http.Request) bool) *byteUpstream {
 	t.Helper()
-	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	return startByteUpstreamOn(t, listenTCP(t), respond)
+}
+
+// listenTCP listens on a local port until the test ends.
+func listenTCP(t *testing.T) *net.TCPListener {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{
+		IP: net.IPv4(127, 0, 0, 1),
+	})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// startByteUpstreamOn is startByteUpstream with a listener.
+func startByteUpstreamOn(t *testing.T, listener *net.TCPListener, respond func(conn *net.TCPConn, request *http.Request) bool) *byteUpstream {
+	t.Helper()
 	u := &byteUpstream{address: listener.Addr().String()}
 	go func() {
 		for {
--- a/lib/hwlink/link.go
+++ b/lib/hwlink/link.go
@@ -236,6 +236,9 @@
 // singleWriteBytes is the largest body that is written together with the head before the response is read: it fits into the socket's send buffer.
 const singleWriteBytes = 32 << 10
 
+// pastDeadline is a deadline that interrupts the reads and writes that wait on a connection.
+var pastDeadline = time.Unix(1, 0)
+
 // Do sends a request and returns the response once its head has been read. Cancelling the context interrupts the exchange; the connection is then closed, which ends the request's execution at the upstream.
 func (t *Transport) Do(ctx context.Context, now time.Time, r *Request) (*Response, *ExchangeError) {
 	var c *conn
@@ -261,8 +264,7 @@
 			Cause:   &WithheldError{},
 		}
 	}
-	// When the context ends, a deadline in the past unblocks all reads and writes on the connection.
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
 	resp := &Response{
 		transport: t,
 		conn:      c,
@@ -348,7 +350,7 @@
 			Got:  echoedID,
 		}, false)
 		mismatch.IDMismatch = true
-		if skipped >= maxSkippedResponses || echoedID == "" || isCloseDelimited(response, resp.request.Method) || !drain(hwresponse.NewBody(response), maxSkippedBodyBytes) {
+		if skipped >= maxSkippedResponses || echoedID == "" || hwresponse.IsCloseDelimited(response, resp.request.Method) || !drain(hwresponse.NewBody(response), maxSkippedBodyBytes) {
 			return mismatch
 		}
 	}
@@ -360,11 +362,6 @@
 	return err == nil && n <= limit
 }
 
-// isCloseDelimited reports whether a response has neither a length nor a transfer encoding, so that its body ends with the connection.
-func isCloseDelimited(response *http.Response, method string) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && method != http.MethodHead
-}
-
 // isConnectionError reports whether a read failed because the connection ended or broke, as opposed to receiving bytes that are no valid response.
 func isConnectionError(err error) bool {
 	var networkErr *net.OpError
@@ -375,9 +372,31 @@
 	resp.Status = response.StatusCode
 	resp.Header = response.Header
 	resp.Length = response.ContentLength
-	resp.Body = hwresponse.NewBody(response)
 	resp.connectionClose = response.Close
-	resp.closeDelimited = isCloseDelimited(response, resp.request.Method)
+	resp.closeDelimited = hwresponse.IsCloseDelimited(response, resp.request.Method)
+	body := hwresponse.NewBody(response)
+	if resp.closeDelimited {
+		body = body.WithEndCheck(resp.checkRequestReceived)
+	}
+	resp.Body = body
+}
+
+// checkRequestReceived returns an error if the connection ended before the upstream had received the whole request.
+//
+// The end of the connection alone does not show that. A socket reports a reset once: if the write of the request takes the error, reads see a regular end.
+func (resp *Response) checkRequestReceived() error {
+	if resp.bodyWritten != nil {
+		// A write that is still waiting would wait on, because the upstream may have closed only its own direction.
+		if err := resp.conn.SetWriteDeadline(pastDeadline); err != nil {
+			return err
+		}
+		if err := <-resp.bodyWritten; err != nil {
+			return &hwresponse.EarlyCloseError{
+				Cause: err,
+			}
+		}
+	}
+	return hwresponse.CheckReceived(resp.conn.Conn)
 }
 
 func (resp *Response) newError(cause error, connectionFailed bool) *ExchangeError {
