hwresponse: clients of net/http refuse broken heads and trailers as hwlink does

Callers saw: through the product's edge, an answer whose head had a field name with a blank came as a success with that line passed on, chunk sizes came as content, and status 000 ended the request in a panic ("invalid WriteHeader code 0"). The store's client, the sender of orders, the reader of the list of instances and the operators' command line took such answers for valid ones. Cause: these readers use net/http's client, which accepts the same heads as its parser. Ruled out: control bytes and empty names, which net/http refuses by itself. Change: hwresponse.Transport wraps a round tripper, judges final and interim heads with CheckHead and trailers with Body, and limits interim answers, which net/http leaves to whoever looks at them. All five readers use it. An invalid answer is no sign of a crash, so it doesn't make the request a suspect. Why it works: the head is judged before the answer leaves the transport. net/http may have put the connection back by then, so the idle ones are closed.

--- a/cmd/hickorywickctl/internal/hwcommand/order.go
+++ b/cmd/hickorywickctl/internal/hwcommand/order.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/hickorywick/hickorywick/lib/hwresponse"
 	"github.com/hickorywick/hickorywick/lib/hwrouter"
 )
 
@@ -40,7 +41,10 @@
 		return trace.Wrap(err)
 	}
 	request.Header.Set("Authorization", "Bearer "+key)
-	response, err := http.DefaultClient.Do(request)
+	client := http.Client{
+		Transport: hwresponse.NewTransport(nil),
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/cmd/hickorywickctl/internal/hwquery/query.go
+++ b/cmd/hickorywickctl/internal/hwquery/query.go
@@ -15,6 +15,7 @@
 
 	"github.com/hickorywick/hickorywick/lib/hwdocument"
 	"github.com/hickorywick/hickorywick/lib/hwhead"
+	"github.com/hickorywick/hickorywick/lib/hwresponse"
 	"github.com/hickorywick/hickorywick/lib/hwrouter"
 	"github.com/hickorywick/hickorywick/lib/hwstore"
 )
@@ -123,7 +124,10 @@
 		return trace.Wrap(err)
 	}
 	request.Header.Set("Authorization", "Bearer "+o.Key)
-	response, err := http.DefaultClient.Do(request)
+	client := http.Client{
+		Transport: hwresponse.NewTransport(nil),
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/lib/hwlink/bound.go
+++ b/lib/hwlink/bound.go
@@ -14,8 +14,6 @@
 	maxHeadBytes = 64 << 10
 	// maxHeaderFields limits the fields of one head, because a field takes far more memory than its few bytes on the wire.
 	maxHeaderFields = 256
-	// maxInterimResponses limits the interim responses before a final one. The standard library's client allows five as well.
-	maxInterimResponses = 5
 	// maxSkippedBodyBytes limits the body of a skipped response to another request. Beyond it, opening a new connection is cheaper than reading on.
 	maxSkippedBodyBytes = 256 << 10
 )
@@ -49,7 +47,7 @@
 func (resp *Response) readFinalHead() (*http.Response, error) {
 	resp.conn.limiter.remaining = maxHeadBytes
 	defer func() { resp.conn.limiter.remaining = unlimited }()
-	for range maxInterimResponses + 1 {
+	for range hwresponse.MaxInterim + 1 {
 		response, err := http.ReadResponse(resp.conn.reader, &http.Request{
 			Method: resp.request.Method,
 		})
@@ -68,7 +66,5 @@
 			return response, nil
 		}
 	}
-	return nil, &FramingError{
-		Problem: "more than " + strconv.Itoa(maxInterimResponses) + " interim responses",
-	}
+	return nil, hwresponse.InterimLimitError()
 }
--- a/lib/hwresponse/body.go
+++ b/lib/hwresponse/body.go
@@ -14,6 +14,7 @@
 // Body is the body of a response that net/http has parsed. It fails at its end if net/http takes a broken body for a complete one.
 type Body struct {
 	response *http.Response
+	source   io.Reader
 	checkEnd func() error
 	// err is the error with which the body ended, or nil.
 	err error
@@ -23,6 +24,7 @@
 func NewBody(response *http.Response) *Body {
 	return &Body{
 		response: response,
+		source:   response.Body,
 		checkEnd: func() error { return nil },
 	}
 }
@@ -31,6 +33,7 @@
 func (b *Body) WithEndCheck(check func() error) *Body {
 	return &Body{
 		response: b.response,
+		source:   b.source,
 		checkEnd: check,
 	}
 }
@@ -40,7 +43,7 @@
 	if b.err != nil {
 		return 0, b.err
 	}
-	n, err := b.response.Body.Read(p)
+	n, err := b.source.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = b.endError()
 	}
--- /dev/null
+++ b/lib/hwresponse/transport.go
@@ -0,0 +1,96 @@
+package hwresponse
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strconv"
+)
+
+// MaxInterim limits the interim (1xx) responses before a final one. net/http's client allows five as well when it counts them itself.
+const MaxInterim = 5
+
+// InterimLimitError returns the error for a response with more than MaxInterim interim responses.
+func InterimLimitError() *HeadError {
+	return &HeadError{
+		Problem: "more than " + strconv.Itoa(MaxInterim) + " interim responses",
+	}
+}
+
+// Transport is an http.RoundTripper that fails where net/http returns a broken response.
+type Transport struct {
+	next http.RoundTripper
+}
+
+// NewTransport returns a transport that sends requests through next, or through http.DefaultTransport if next is nil.
+func NewTransport(next http.RoundTripper) *Transport {
+	if next == nil {
+		next = http.DefaultTransport
+	}
+	return &Transport{
+		next: next,
+	}
+}
+
+// CloseIdleConnections closes the connections that carry no request.
+func (t *Transport) CloseIdleConnections() {
+	if closer, ok := t.next.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
+
+// RoundTrip sends a request and returns its response. The error is a *HeadError if the head, or that of an interim response, is invalid. The body fails at its end if the trailer is invalid.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	interim := 0
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		// With this hook, net/http leaves it to the hook to limit interim responses.
+		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
+			interim++
+			if interim > MaxInterim {
+				return InterimLimitError()
+			}
+			return CheckHead(status, http.Header(header))
+		},
+	})
+	response, err := t.next.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(response.StatusCode, response.Header); err != nil {
+		_ = response.Body.Close()
+		t.dropConnection()
+		return nil, err
+	}
+	response.Request = request
+	response.Body = &transportBody{
+		checked:   NewBody(response),
+		source:    response.Body,
+		transport: t,
+	}
+	return response, nil
+}
+
+// dropConnection closes the connection of a broken response. net/http may have put it back for the next request before it was known that the response is broken.
+func (t *Transport) dropConnection() { t.CloseIdleConnections() }
+
+// transportBody is the body of a response to a request that was sent through a Transport.
+type transportBody struct {
+	checked   *Body
+	source    io.Closer
+	transport *Transport
+}
+
+// Read reads from the body.
+func (b *transportBody) Read(p []byte) (int, error) {
+	n, err := b.checked.Read(p)
+	var broken *HeadError
+	if errors.As(err, &broken) {
+		b.transport.dropConnection()
+	}
+	return n, err
+}
+
+// Close closes the body, and the connection if the body was not read to its end.
+func (b *transportBody) Close() error { return b.source.Close() }
--- a/lib/hwrouter/members.go
+++ b/lib/hwrouter/members.go
@@ -19,6 +19,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwmember"
 	"github.com/hickorywick/hickorywick/lib/hwpeer"
 	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
+	"github.com/hickorywick/hickorywick/lib/hwresponse"
 )
 
 // targetGroup is an entry of the HTTP service discovery format of Prometheus.
@@ -43,12 +44,7 @@
 	if r.settings.InstanceListURL == "" {
 		return nil
 	}
-	client := &http.Client{
-		Timeout: r.settings.Timing.ListPollInterval,
-		Transport: &http.Transport{
-			DialContext: r.dial,
-		},
-	}
+	client := newListClient(r.settings.Timing.ListPollInterval, r.dial)
 	defer client.CloseIdleConnections()
 	stale := false
 	for ctx.Err() == nil {
@@ -66,6 +62,16 @@
 	return nil
 }
 
+// newListClient returns the client that fetches the list of instances.
+func newListClient(timeout time.Duration, dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	return &http.Client{
+		Timeout: timeout,
+		Transport: hwresponse.NewTransport(&http.Transport{
+			DialContext: dial,
+		}),
+	}
+}
+
 func (r *Router) markListFetched(list []hwmember.ListEntry) {
 	r.listFetched.Store(true)
 	if slices.ContainsFunc(list, func(l hwmember.ListEntry) bool { return l.Instance == r.settings.Instance }) {
--- a/lib/hwrouter/orders.go
+++ b/lib/hwrouter/orders.go
@@ -16,6 +16,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwdocument"
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwfence"
+	"github.com/hickorywick/hickorywick/lib/hwresponse"
 	"github.com/hickorywick/hickorywick/lib/hwstore"
 )
 
@@ -250,9 +251,9 @@
 		return 0, nil, trace.Wrap(err)
 	}
 	client := http.Client{
-		Transport: &http.Transport{
+		Transport: hwresponse.NewTransport(&http.Transport{
 			DisableKeepAlives: true,
-		},
+		}),
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- /dev/null
+++ b/lib/hwstore/broken_response_test.go
@@ -0,0 +1,80 @@
+package hwstore_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorywick/hickorywick/lib/hwstore"
+)
+
+// startByteStore starts a store that answers every call with the same bytes. It returns its URL and the number of connections that it has accepted.
+func startByteStore(t *testing.T, response string) (string, *atomic.Int32) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	connections := &atomic.Int32{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					if _, err := io.WriteString(conn, response); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String(), connections
+}
+
+// rangeBody is an answer to Get with a value of revision 1.
+const rangeBody = `{"header":{"revision":"1"},"kvs":[{"key":"aw==","value":"dg==","mod_revision":"1"}]}`
+
+// The store sent answers with a broken head. A write may have taken effect after one, so it must not be taken for an answer, nor for a refusal.
+func TestABrokenAnswerIsAmbiguous(t *testing.T) {
+	require.Len(t, rangeBody, 84)
+	for name, response := range map[string]string{
+		"status 000":               "HTTP/1.1 000 OK\r\nContent-Length: 84\r\n\r\n" + rangeBody,
+		"blank inside a name":      "HTTP/1.1 200 OK\r\nX Note: 1\r\nContent-Length: 84\r\n\r\n" + rangeBody,
+		"blank before the colon":   "HTTP/1.1 200 OK\r\nX-Note : 1\r\nContent-Length: 84\r\n\r\n" + rangeBody,
+		"blank in an interim name": "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 84\r\n\r\n" + rangeBody,
+		"chunks with a blank":      "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 95\r\n\r\n54\r\n" + rangeBody + "\r\n0\r\n\r\n",
+		"error with a blank":       "HTTP/1.1 400 Bad Request\r\nX Note: 1\r\nContent-Length: 11\r\n\r\n" + `{"code":11}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			endpoint, connections := startByteStore(t, response)
+			store := hwstore.NewEtcd(endpoint, time.Second, &http.Client{
+				Transport: &http.Transport{},
+			})
+			_, err := store.Get(t.Context(), "k")
+			var ambiguous *hwstore.AmbiguousError
+			require.ErrorAs(t, err, &ambiguous)
+			_, err = store.Put(t.Context(), "k", []byte("v"), 0, hwstore.NoLease)
+			require.ErrorAs(t, err, &ambiguous)
+			err = store.Watch(t.Context(), "k", 1, func(hwstore.Change) { assert.Fail(t, "no change was answered") })
+			require.ErrorAs(t, err, &ambiguous)
+			assert.EqualValues(t, 3, connections.Load(), "a connection with a broken answer was used again")
+		})
+	}
+}
--- a/lib/hwstore/etcd.go
+++ b/lib/hwstore/etcd.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/hickorywick/hickorywick/lib/hwresponse"
 )
 
 // Etcd is a store client for the etcd v3 JSON API over HTTP.
@@ -36,9 +38,11 @@
 // NewEtcd returns a client of the store at an endpoint such as http://127.0.0.1:2379.
 // Every call except a watch ends within the timeout.
 func NewEtcd(endpoint string, timeout time.Duration, client *http.Client) *Etcd {
+	checked := *client
+	checked.Transport = hwresponse.NewTransport(client.Transport)
 	return &Etcd{
 		endpoint: endpoint,
-		client:   client,
+		client:   &checked,
 		timeout:  timeout,
 		counters: &CallCounters{},
 	}
--- a/lib/hwupstream/client.go
+++ b/lib/hwupstream/client.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/tmaxmax/go-sse"
+
+	"github.com/hickorywick/hickorywick/lib/hwresponse"
 )
 
 // AttemptIDHeader carries the attempt ID to the upstream, which echoes it in the response.
@@ -116,13 +118,13 @@
 	connBufferBytes = 1 << 10
 )
 
-func (c *Client) transport(upstream string, idempotent bool) *http.Transport {
+func (c *Client) transport(upstream string, idempotent bool) *hwresponse.Transport {
 	key := upstream
 	if !idempotent {
 		key = "fresh " + upstream
 	}
 	if existing, found := c.transports.Load(key); found {
-		return existing.(*http.Transport)
+		return existing.(*hwresponse.Transport)
 	}
 	dialer := &net.Dialer{
 		Timeout: c.dialTimeout,
@@ -133,7 +135,7 @@
 			Count:    keepAliveProbes,
 		},
 	}
-	created := &http.Transport{
+	created := hwresponse.NewTransport(&http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
 		IdleConnTimeout:        idleConnTimeout,
@@ -144,9 +146,9 @@
 		WriteBufferSize:        connBufferBytes,
 		// A non-nil empty map disables the automatic upgrade to HTTP/2.
 		TLSNextProto: map[string]func(string, *tls.Conn) http.RoundTripper{},
-	}
+	})
 	actual, _ := c.transports.LoadOrStore(key, created)
-	return actual.(*http.Transport)
+	return actual.(*hwresponse.Transport)
 }
 
 // CloseIdleConnections closes the idle pooled connections to an upstream.
@@ -157,7 +159,7 @@
 // Close closes the idle connections to all upstreams.
 func (c *Client) Close() {
 	c.transports.Range(func(_, transport any) bool {
-		transport.(*http.Transport).CloseIdleConnections()
+		transport.(*hwresponse.Transport).CloseIdleConnections()
 		return true
 	})
 }
@@ -251,7 +253,9 @@
 		}
 		return failure
 	}
-	failure.ConnectionBroken = maybeSent && !errors.Is(cause, context.Canceled) && !errors.Is(cause, context.DeadlineExceeded)
+	// An upstream that sends an invalid response has not crashed.
+	var invalid *hwresponse.HeadError
+	failure.ConnectionBroken = maybeSent && !errors.As(cause, &invalid) && !errors.Is(cause, context.Canceled) && !errors.Is(cause, context.DeadlineExceeded)
 	return failure
 }
 
