hwupstream: a body that ends with the connection is complete only if the upstream had the whole request

Callers saw: through the product's edge, too, a part of an early answer without a length came as the whole when the replica closed or reset the connection before it had read the upload. Ruled out: streams without their end mark, which were failures already. Change: hwresponse.Transport takes the result of the write at the end of such a body, and hwresponse.Conn turns the end of a connection into an error if a write has failed or bytes are not acknowledged. Why it works: net/http closes the connection at that end, so the write ends and its result is final; the socket is asked before that.

--- a/lib/hwresponse/early.go
+++ b/lib/hwresponse/early.go
@@ -1,8 +1,11 @@
 package hwresponse
 
 import (
+	"errors"
+	"io"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -56,3 +59,43 @@
 		return nil
 	}
 }
+
+// Conn is a connection that ends with an *EarlyCloseError in place of io.EOF if its peer has not received all that was written to it.
+type Conn struct {
+	net.Conn
+	// writeErr is the error of a failed write. A socket reports a reset once: if a write takes the error, reads see a regular end.
+	writeErr atomic.Pointer[error]
+}
+
+// NewConn returns a connection that checks the end of c.
+func NewConn(c net.Conn) *Conn {
+	return &Conn{
+		Conn: c,
+	}
+}
+
+// Write writes to the connection.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.writeErr.Store(&err)
+	}
+	return n, err
+}
+
+// Read reads from the connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if writeErr := c.writeErr.Load(); writeErr != nil {
+		return n, &EarlyCloseError{
+			Cause: *writeErr,
+		}
+	}
+	if early := CheckReceived(c.Conn); early != nil {
+		return n, early
+	}
+	return n, err
+}
--- a/lib/hwresponse/transport.go
+++ b/lib/hwresponse/transport.go
@@ -1,6 +1,7 @@
 package hwresponse
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -41,9 +42,10 @@
 	}
 }
 
-// RoundTrip sends a request and returns its response. The error is a *HeadError if the head, or that of an interim response, is invalid. The body fails at its end if the trailer is invalid.
+// RoundTrip sends a request and returns its response. The error is a *HeadError if the head, or that of an interim response, is invalid. The body fails at its end if the trailer is invalid, or with an *EarlyCloseError if it ends with the connection before the request was written. Whether the upstream has received what was written is for a Conn to tell.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	interim := 0
+	written := make(chan error, 1)
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
 		// With this hook, net/http leaves it to the hook to limit interim responses.
 		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
@@ -53,6 +55,14 @@
 			}
 			return CheckHead(status, http.Header(header))
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			// net/http may send a request again, and only the last time counts.
+			select {
+			case <-written:
+			default:
+			}
+			written <- info.Err
+		},
 	})
 	response, err := t.next.RoundTrip(request.WithContext(ctx))
 	if err != nil {
@@ -63,15 +73,34 @@
 		t.dropConnection()
 		return nil, err
 	}
+	body := NewBody(response)
+	if IsCloseDelimited(response, request.Method) {
+		body = body.WithEndCheck(func() error { return checkWritten(ctx, written) })
+	}
 	response.Request = request
 	response.Body = &transportBody{
-		checked:   NewBody(response),
+		checked:   body,
 		source:    response.Body,
 		transport: t,
 	}
 	return response, nil
 }
 
+// checkWritten returns an error unless the whole request was written. It is called at the end of a response's connection, which ends the write.
+func checkWritten(ctx context.Context, written <-chan error) error {
+	select {
+	case err := <-written:
+		if err != nil {
+			return &EarlyCloseError{
+				Cause: err,
+			}
+		}
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // dropConnection closes the connection of a broken response. net/http may have put it back for the next request before it was known that the response is broken.
 func (t *Transport) dropConnection() { t.CloseIdleConnections() }
 
--- a/lib/hwupstream/broken_response_test.go
+++ b/lib/hwupstream/broken_response_test.go
@@ -26,13 +26,16 @@
 }
 
 // startByteUpstream starts an upstream that calls respond for each request head. The connection is closed when respond returns false.
-func startByteUpstream(t *testing.T, respond func(conn *net.TCPConn, request *http.Request) bool) *byteUpstream {
+func startByteUpstream(t *testing.T, respond func(conn *net.TCPConn, request *http.Request) bool, options ...func(*testing.T, *net.TCPListener)) *byteUpstream {
 	t.Helper()
 	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{
 		IP: net.IPv4(127, 0, 0, 1),
 	})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
+	for _, option := range options {
+		option(t, listener)
+	}
 	u := &byteUpstream{
 		address: listener.Addr().String(),
 	}
--- a/lib/hwupstream/client.go
+++ b/lib/hwupstream/client.go
@@ -136,7 +136,13 @@
 		},
 	}
 	created := hwresponse.NewTransport(&http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return hwresponse.NewConn(conn), nil
+		},
 		MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
 		IdleConnTimeout:        idleConnTimeout,
 		DisableKeepAlives:      !idempotent,
