Readers of JSON answers: an answer counts only if it came to its end

Callers saw: nothing yet; the store's client, the reader of the list of instances and the operators' command line took what a broken answer began with for the whole, as the platform's store client did. Cause: a JSON decoder returns the first value; the end of the body, where a length, a last chunk or a trailer is missing, was not read or its error was dropped. Change: hwresponse.DecodeJSON reads the body to its end within a limit and decodes all of it; the platform's client uses it, too. The command line had no limit: 64 MiB for a report, 64 KiB for the result of an order. A valid answer still leaves its connection to the next call.

--- a/cmd/hickorywickctl/internal/hwcommand/order.go
+++ b/cmd/hickorywickctl/internal/hwcommand/order.go
@@ -28,6 +28,9 @@
 	return fmt.Sprintf("order outcome %s: %s", e.Result.Outcome, e.Result.Message)
 }
 
+// maxResultBytes limits a router's answer to an order: an outcome and a message.
+const maxResultBytes = 64 << 10
+
 // PlaceOrder asks the router at an operators' address to place an order at an upstream under the orderers' lease, and prints the fencing number of an order that is done.
 func PlaceOrder(ctx context.Context, out io.Writer, address, key string, order hwrouter.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -50,7 +53,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var result hwrouter.OrderResult
-	if err := json.NewDecoder(response.Body).Decode(&result); err != nil {
+	if err := hwresponse.DecodeJSON(response.Body, maxResultBytes, &result); err != nil {
 		return trace.ConnectionProblem(err, "%s answered with status %d", address, response.StatusCode)
 	}
 	if result.Outcome != hwrouter.OrderDone {
--- a/cmd/hickorywickctl/internal/hwquery/query.go
+++ b/cmd/hickorywickctl/internal/hwquery/query.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -109,6 +108,9 @@
 	return trace.Wrap(w.Flush())
 }
 
+// maxReportBytes limits the answer of a router: the usage of every account by the hour takes the most.
+const maxReportBytes = 64 << 20
+
 // OperatorClient queries the operators' listeners of several routers. Key is sent as a bearer token.
 type OperatorClient struct {
 	Addresses []string
@@ -135,7 +137,7 @@
 	if response.StatusCode != http.StatusOK {
 		return unexpectedStatusError(address, path, response.StatusCode)
 	}
-	return trace.Wrap(json.NewDecoder(response.Body).Decode(into))
+	return trace.Wrap(hwresponse.DecodeJSON(response.Body, maxReportBytes, into))
 }
 
 func (o OperatorClient) statuses(ctx context.Context) ([]hwrouter.Status, error) {
--- a/lib/hwrouter/broken_response_test.go
+++ b/lib/hwrouter/broken_response_test.go
@@ -101,6 +101,15 @@
 	}
 }
 
+// A list was shorter than announced, and what had come of it was taken for the whole.
+func TestAnInstanceListMustComeToItsEnd(t *testing.T) {
+	address := respondBytes(t, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n[]")
+	client := newListClient(200*time.Millisecond, (&net.Dialer{}).DialContext)
+	defer client.CloseIdleConnections()
+	_, err := fetchInstanceList(context.Background(), client, "http://"+address)
+	assert.Error(t, err)
+}
+
 // The list of instances was read from a broken response.
 func TestABrokenResponseIsNoInstanceList(t *testing.T) {
 	for name, head := range brokenHeads() {
--- a/lib/hwrouter/members.go
+++ b/lib/hwrouter/members.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -93,7 +92,7 @@
 		return nil, trace.ConnectionProblem(nil, "the instance list endpoint responded with status %d", response.StatusCode)
 	}
 	var groups []json.RawMessage
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxInstanceListBytes)).Decode(&groups); err != nil {
+	if err := hwresponse.DecodeJSON(response.Body, maxInstanceListBytes, &groups); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	return listedInstances(groups), nil
--- a/lib/hwstore/broken_response_test.go
+++ b/lib/hwstore/broken_response_test.go
@@ -48,6 +48,45 @@
 	return "http://" + listener.Addr().String(), connections
 }
 
+// The store sent less than it announced, or more than a document. What the answer began with was taken for the whole.
+func TestAnAnswerMustComeToItsEnd(t *testing.T) {
+	require.Len(t, rangeBody, 84)
+	for name, response := range map[string]string{
+		"shorter than its length": "HTTP/1.1 200 OK\r\nContent-Length: 85\r\n\r\n" + rangeBody,
+		"without its last chunk":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n54\r\n" + rangeBody + "\r\n",
+		"blank in a trailer":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n54\r\n" + rangeBody + "\r\n0\r\nX Sum: 1\r\n\r\n",
+		"more than a document":    "HTTP/1.1 200 OK\r\nContent-Length: 86\r\n\r\n" + rangeBody + "{}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			endpoint, _ := startByteStore(t, response)
+			store := hwstore.NewEtcd(endpoint, 200*time.Millisecond, &http.Client{
+				Transport: &http.Transport{},
+			})
+			_, err := store.Get(t.Context(), "k")
+			var ambiguous *hwstore.AmbiguousError
+			require.ErrorAs(t, err, &ambiguous)
+		})
+	}
+	for name, response := range map[string]string{
+		"length":           "HTTP/1.1 200 OK\r\nContent-Length: 84\r\n\r\n" + rangeBody,
+		"trailing newline": "HTTP/1.1 200 OK\r\nContent-Length: 85\r\n\r\n" + rangeBody + "\n",
+		"chunks":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n54\r\n" + rangeBody + "\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			endpoint, connections := startByteStore(t, response)
+			store := hwstore.NewEtcd(endpoint, time.Second, &http.Client{
+				Transport: &http.Transport{},
+			})
+			for range 3 {
+				value, err := store.Get(t.Context(), "k")
+				require.NoError(t, err)
+				assert.Equal(t, "v", string(value.Bytes))
+			}
+			assert.EqualValues(t, 1, connections.Load())
+		})
+	}
+}
+
 // rangeBody is an answer to Get with a value of revision 1.
 const rangeBody = `{"header":{"revision":"1"},"kvs":[{"key":"aw==","value":"dg==","mod_revision":"1"}]}`
 
--- a/lib/hwstore/etcd.go
+++ b/lib/hwstore/etcd.go
@@ -292,6 +292,9 @@
 // maxResponseBytes limits the size of a response: etcd's default request limit of 1.5 MB for the largest value, a third more for its base64 encoding, and as much again as a margin.
 const maxResponseBytes = 4 << 20
 
+// maxErrorBytes limits the size of a response that states an error: a code and a message.
+const maxErrorBytes = 64 << 10
+
 // call makes one call. Its error tells whether the store may have executed the call.
 func (e *Etcd) call(ctx context.Context, path string, request, response any) error {
 	ctx, cancel := context.WithTimeout(ctx, e.timeout)
@@ -304,12 +307,9 @@
 	if reply.StatusCode != http.StatusOK {
 		return e.statusError(path, reply)
 	}
-	body := http.MaxBytesReader(nil, reply.Body, maxResponseBytes)
-	if err := json.NewDecoder(body).Decode(response); err != nil {
+	if err := hwresponse.DecodeJSON(reply.Body, maxResponseBytes, response); err != nil {
 		return e.transportError(path, true, err)
 	}
-	// The rest of the body is drained so that the connection can be reused.
-	_, _ = io.Copy(io.Discard, body)
 	return nil
 }
 
@@ -354,7 +354,7 @@
 func (e *Etcd) statusError(path string, reply *http.Response) error {
 	e.counters.Failures.Add(1)
 	var failure errorResponse
-	if err := json.NewDecoder(io.LimitReader(reply.Body, 1<<16)).Decode(&failure); err != nil {
+	if err := hwresponse.DecodeJSON(reply.Body, maxErrorBytes, &failure); err != nil {
 		return e.transportError(path, true, trace.ConnectionProblem(err, "store responded with status %d", reply.StatusCode))
 	}
 	switch failure.Code {
