--- a/lib/hwforward/broken_response_test.go
+++ b/lib/hwforward/broken_response_test.go
@@ -284,3 +284,44 @@
 		})
 	}
 }
+
+// A hedged attempt that gets a broken response neither wins nor ends the request.
+func TestABrokenResponseWinsNoRace(t *testing.T) {
+	for name, broken := range map[string]string{
+		"status 000":          "HTTP/1.1 000 Trouble\r\nX-Id: %ID%\r\nX-Signed: 1\r\nContent-Length: 0\r\n\r\n" + goodResponse,
+		"blank in a name":     goodHead + "X Note: 1\r\nContent-Length: 15\r\n\r\nid: 1\ndata: 1\n\n",
+		"length with a blank": goodHead + "Content-Length : 15\r\nContent-Length: 3\r\n\r\nid: 1\ndata: 1\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			respondBroken := respondRaw(func(_ int, r *http.Request) string {
+				return strings.ReplaceAll(broken, "%ID%", r.Header.Get("X-Id"))
+			})
+			f := newHedgingFixture(t, 2, newTurns(respondBroken).firstAfterSecond(50*time.Millisecond, respondOK).serve)
+			got := f.call(http.MethodGet, "/safe/1", "")
+			assert.Equal(t, http.StatusOK, got.status)
+			assert.Equal(t, "good /safe/1", got.body)
+			assert.Equal(t, 2, f.totalRequests(), "the request was hedged")
+			f = newHedgingFixture(t, 2, newTurns(respondBroken).firstAfterSecond(50*time.Millisecond, respondBroken).serve)
+			got = f.call(http.MethodGet, "/safe/1", "")
+			assert.Equal(t, http.StatusBadGateway, got.status)
+		})
+	}
+}
+
+// An engine's list of cached segments was read from a broken response.
+func TestABrokenResponseIsNoCacheList(t *testing.T) {
+	for name, broken := range map[string]string{
+		"status 000":      "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n9000",
+		"blank in a name": "HTTP/1.1 200 OK\r\nX Note: 1\r\nContent-Length: 4\r\n\r\n9000",
+		"trailer":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n9000\r\n0\r\nX Sum: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, respondOK)
+			f.replaceUpstream(0, startByteUpstream(t, respondBytes(broken)))
+			f.useEngines()
+			require.Eventually(t, func() bool { return strings.Contains(f.log.String(), "cache-not-listed") }, 5*time.Second, time.Millisecond)
+			assert.NotContains(t, f.log.String(), "cache-listed")
+		})
+	}
+}
