--- a/lib/hwresponse/body.go
+++ b/lib/hwresponse/body.go
@@ -14,8 +14,9 @@
 // Body is the body of a response that net/http has parsed. It fails at its end if net/http takes a broken body for a complete one.
 type Body struct {
 	response *http.Response
-	source   io.Reader
+	source   io.ReadCloser
 	checkEnd func() error
+	onBroken func()
 	// err is the error with which the body ended, or nil.
 	err error
 }
@@ -26,6 +27,7 @@
 		response: response,
 		source:   response.Body,
 		checkEnd: func() error { return nil },
+		onBroken: func() {},
 	}
 }
 
@@ -35,6 +37,17 @@
 		response: b.response,
 		source:   b.source,
 		checkEnd: check,
+		onBroken: b.onBroken,
+	}
+}
+
+// WithBrokenHook returns a reader that also calls hook if the body fails at its end.
+func (b *Body) WithBrokenHook(hook func()) *Body {
+	return &Body{
+		response: b.response,
+		source:   b.source,
+		checkEnd: b.checkEnd,
+		onBroken: hook,
 	}
 }
 
@@ -51,13 +64,18 @@
 	return n, err
 }
 
+// Close closes the response's body.
+func (b *Body) Close() error { return b.source.Close() }
+
 // endError returns io.EOF if the body that has ended is complete.
 func (b *Body) endError() error {
-	if err := checkNames(b.response.Trailer); err != nil {
-		return err
+	err := checkNames(b.response.Trailer)
+	if err == nil {
+		err = b.checkEnd()
 	}
-	if err := b.checkEnd(); err != nil {
-		return err
+	if err == nil {
+		return io.EOF
 	}
-	return io.EOF
+	b.onBroken()
+	return err
 }
--- a/lib/hwresponse/transport.go
+++ b/lib/hwresponse/transport.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -70,19 +68,17 @@
 	}
 	if err := CheckHead(response.StatusCode, response.Header); err != nil {
 		_ = response.Body.Close()
-		t.dropConnection()
+		// net/http puts the connection of a response without a body back before it returns the response.
+		t.CloseIdleConnections()
 		return nil, err
 	}
-	body := NewBody(response)
+	// It puts the connection back at the end of a body, too, before the trailer is judged.
+	body := NewBody(response).WithBrokenHook(t.CloseIdleConnections)
 	if IsCloseDelimited(response, request.Method) {
 		body = body.WithEndCheck(func() error { return checkWritten(ctx, written) })
 	}
 	response.Request = request
-	response.Body = &transportBody{
-		checked:   body,
-		source:    response.Body,
-		transport: t,
-	}
+	response.Body = body
 	return response, nil
 }
 
@@ -100,26 +96,3 @@
 		return ctx.Err()
 	}
 }
-
-// dropConnection closes the connection of a broken response. net/http may have put it back for the next request before it was known that the response is broken.
-func (t *Transport) dropConnection() { t.CloseIdleConnections() }
-
-// transportBody is the body of a response to a request that was sent through a Transport.
-type transportBody struct {
-	checked   *Body
-	source    io.Closer
-	transport *Transport
-}
-
-// Read reads from the body.
-func (b *transportBody) Read(p []byte) (int, error) {
-	n, err := b.checked.Read(p)
-	var broken *HeadError
-	if errors.As(err, &broken) {
-		b.transport.dropConnection()
-	}
-	return n, err
-}
-
-// Close closes the body, and the connection if the body was not read to its end.
-func (b *transportBody) Close() error { return b.source.Close() }
