--- a/cmd/hickorywickctl/internal/hwquery/query.go
+++ b/cmd/hickorywickctl/internal/hwquery/query.go
@@ -108,7 +108,7 @@
 	return trace.Wrap(w.Flush())
 }
 
-// maxReportBytes limits the answer of a router: the usage of every account by the hour takes the most.
+// maxReportBytes limits what is read of a router's answer, so that one without an end does not take all memory.
 const maxReportBytes = 64 << 20
 
 // OperatorClient queries the operators' listeners of several routers. Key is sent as a bearer token.
--- a/lib/hwresponse/transport.go
+++ b/lib/hwresponse/transport.go
@@ -8,7 +8,7 @@
 	"strconv"
 )
 
-// MaxInterim limits the interim (1xx) responses before a final one. net/http's client allows five as well when it counts them itself.
+// MaxInterim limits the interim (1xx) responses before a final one. net/http's client limits only the size of their heads.
 const MaxInterim = 5
 
 // InterimLimitError returns the error for a response with more than MaxInterim interim responses.
--- a/lib/hwupstream/broken_response_test.go
+++ b/lib/hwupstream/broken_response_test.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// An upstream sent a field whose name holds a blank, in the head, an interim head or the trailer. The line was passed on to the caller as it was, or the body had other bounds than the upstream's.
+// An upstream sent a field whose name holds a blank, in the head, an interim head or the trailer. The line was lost on the way to the caller, or the body had other bounds than the upstream's.
 func TestAResponseWithAnInvalidFieldNameIsRefused(t *testing.T) {
 	for name, broken := range map[string]string{
 		"blank inside a name":             goodHead + "X Note: 1\r\nContent-Length: 14\r\n\r\n" + goodBody,
