An empty list of accounts takes all keys away

Callers saw: after a configuration whose list of accounts was there and empty, all routers ran requests with the key that it took away, with keys that never existed, and without a key, on all routes.

Cause: whether requests need a key followed from the number of accounts, and the decoder did not tell an empty list from a missing one. Without the field, nobody needs a key; with an empty list, nobody has one.

A check warns of an empty list, and a comparison tells whether routes open or close for callers without a key; it announced 401 for keys that nobody needed any more.

--- a/lib/hwcheck/check_test.go
+++ b/lib/hwcheck/check_test.go
@@ -164,6 +164,25 @@
 	assert.Equal(t, []hwcheck.Change{{Subject: hwcheck.KeySubject, Name: "k1", Action: hwcheck.Changed, Field: "account", Before: "a", After: "b", Effect: "what its callers use counts for account b"}}, hwcheck.Compare(sound(), moved))
 }
 
+// Guards against a comparison that announces 401 for keys that nobody needs any more, or says nothing when routes open or close for all.
+func TestChangesTellWhetherKeysAreRequired(t *testing.T) {
+	open := sound()
+	open.Accounts = nil
+	closed := open
+	closed.RequiresKeys = true
+	var text strings.Builder
+	require.NoError(t, hwcheck.Report{File: "f", Changes: hwcheck.Compare(sound(), open)}.WriteText(&text))
+	assert.Contains(t, text.String(), "key all changed: required from true to false; callers without a key are served on all routes\n")
+	assert.Contains(t, text.String(), "key k1 removed; callers with it, so far of account a, are served without an account\n")
+	text.Reset()
+	require.NoError(t, hwcheck.Report{File: "f", Changes: hwcheck.Compare(sound(), closed)}.WriteText(&text))
+	assert.NotContains(t, text.String(), "required")
+	assert.Contains(t, text.String(), "key k1 removed; callers with it, so far of account a, get 401\n")
+	text.Reset()
+	require.NoError(t, hwcheck.Report{File: "f", Changes: hwcheck.Compare(open, closed)}.WriteText(&text))
+	assert.Contains(t, text.String(), "key all changed: required from false to true; callers without a key get 401, except on public routes\n")
+}
+
 // decode decodes the format of these tests: the name of a configuration.
 func decode(body []byte) (hwcheck.Configuration, []hwcheck.Finding, bool) {
 	configuration := sound()
--- a/lib/hwcheck/compare.go
+++ b/lib/hwcheck/compare.go
@@ -234,6 +234,9 @@
 	return choose(after < before, lower, higher)
 }
 
+// allKeys is the name of changes that concern all keys.
+const allKeys = "all"
+
 func (c *comparer) accounts() {
 	total := func(accounts []Account) float64 {
 		sum := 0.0
@@ -244,11 +247,19 @@
 		}
 		return sum
 	}
+	if oldRequired, newRequired := c.before.keysRequired(), c.after.keysRequired(); newRequired {
+		c.changed(KeySubject, allKeys, "required", strconv.FormatBool(oldRequired), "true", "callers without a key get 401, except on public routes")
+	} else {
+		c.changed(KeySubject, allKeys, "required", strconv.FormatBool(oldRequired), "false", "callers without a key are served on all routes")
+	}
 	oldTotal, newTotal := total(c.before.Accounts), total(c.after.Accounts)
 	for _, p := range pairs(c.before.Accounts, c.after.Accounts, func(a Account) string { return a.Name }) {
 		if addition(c, AccountSubject, p,
 			func(a Account) string { return fmt.Sprintf("callers with its keys (%d) are served", len(a.Keys)) },
 			func(a Account) string {
+				if !c.after.keysRequired() {
+					return fmt.Sprintf("callers with its keys (%d) are served without an account", len(a.Keys))
+				}
 				return fmt.Sprintf("callers with its keys (%d) get 401, unless another account has them", len(a.Keys))
 			}) {
 			continue
@@ -304,11 +315,15 @@
 	}
 	for _, hash := range oldOrder {
 		if _, is := newOwners[hash]; !is {
+			effect := "get 401"
+			if !c.after.keysRequired() {
+				effect = "are served without an account"
+			}
 			c.add(Change{
 				Subject: KeySubject,
 				Name:    hash,
 				Action:  Removed,
-				Effect:  "callers with it, so far of account " + oldOwners[hash] + ", get 401",
+				Effect:  "callers with it, so far of account " + oldOwners[hash] + ", " + effect,
 			})
 		}
 	}
--- a/lib/hwcheck/configuration.go
+++ b/lib/hwcheck/configuration.go
@@ -14,13 +14,19 @@
 	Routes      []Route
 	Pools       []Pool
 	Accounts    []Account
-	Objectives  []Objective
+	// RequiresKeys means that only public routes are served without an API key. AccountsPlace is the place of the list of accounts.
+	RequiresKeys  bool
+	AccountsPlace Place
+	Objectives    []Objective
 	// Limits apply to all callers.
 	Limits []Field
 	// Place is that of the whole.
 	Place Place
 }
 
+// keysRequired reports whether requests for routes that are not public need a key. A configuration with accounts always requires keys.
+func (c Configuration) keysRequired() bool { return c.RequiresKeys || len(c.Accounts) > 0 }
+
 // Field is a value that is only compared. Number tells in which direction it changed; it is not used if Text is not a number with a unit.
 type Field struct {
 	Name   string
--- a/lib/hwcheck/finding.go
+++ b/lib/hwcheck/finding.go
@@ -35,6 +35,7 @@
 	DuplicateKey           Kind = "duplicate-key"
 	EmptyKey               Kind = "empty-key"
 	AccountWithoutKey      Kind = "account-without-key"
+	NoAccount              Kind = "no-account"
 	ShareZero              Kind = "share-zero"
 	MissingPool            Kind = "missing-pool"
 	UnusedPool             Kind = "unused-pool"
--- a/lib/hwcheck/rules.go
+++ b/lib/hwcheck/rules.go
@@ -186,6 +186,9 @@
 }
 
 func (k *checker) checkAccounts(c Configuration) {
+	if c.RequiresKeys && len(c.Accounts) == 0 {
+		k.add(Warning, c.AccountsPlace, NoAccount, "the list of accounts is empty, so all requests for routes that are not public get 401")
+	}
 	names := map[string]bool{}
 	owners := map[string]string{}
 	for _, a := range c.Accounts {
--- a/lib/hwdocument/report.go
+++ b/lib/hwdocument/report.go
@@ -83,8 +83,10 @@
 		}
 	}
 	c := hwcheck.Configuration{
-		Environment: d.Environment,
-		Place:       place("environment"),
+		Environment:   d.Environment,
+		RequiresKeys:  true,
+		AccountsPlace: place("accounts"),
+		Place:         place("environment"),
 	}
 	for i, a := range d.Accounts {
 		account := hwcheck.Account{
--- a/lib/hwtable/table.go
+++ b/lib/hwtable/table.go
@@ -88,7 +88,9 @@
 	Routes   []Route
 	Pools    []Pool
 	Accounts []Account
-	Limits   Limits
+	// RequiresKeys means that only public routes are served without an API key. It states what the length of Accounts can't: without an account, either nobody needs a key or nobody has one. A configuration with accounts always requires keys.
+	RequiresKeys bool
+	Limits       Limits
 }
 
 // Table is one version of the routing table, indexed for lookups.
@@ -98,7 +100,7 @@
 	routesByHost  map[string][]Route
 	pools         map[string]Pool
 	accountsByKey map[string]Account
-	// requiresKeys is false for a table without accounts, which serves all routes without a key.
+	// requiresKeys is false for a table that serves all routes without a key.
 	requiresKeys bool
 }
 
@@ -110,7 +112,7 @@
 		routesByHost:  map[string][]Route{},
 		pools:         map[string]Pool{},
 		accountsByKey: map[string]Account{},
-		requiresKeys:  len(c.Accounts) > 0,
+		requiresKeys:  c.RequiresKeys || len(c.Accounts) > 0,
 	}
 	for _, r := range c.Routes {
 		t.routesByHost[r.Host] = append(t.routesByHost[r.Host], r)
--- a/lib/hwtable/table_test.go
+++ b/lib/hwtable/table_test.go
@@ -72,6 +72,13 @@
 	assert.False(t, hwtable.New(hwtable.Config{}).RequiresKey(hwtable.Route{}))
 }
 
+// Guards against a table without accounts that serves everybody although it requires keys.
+func TestTableThatRequiresKeysNeedsNoAccountForIt(t *testing.T) {
+	table := hwtable.New(hwtable.Config{RequiresKeys: true})
+	assert.True(t, table.RequiresKey(hwtable.Route{}))
+	assert.False(t, table.RequiresKey(hwtable.Route{Public: true}))
+}
+
 // Requests are distributed over a route's pools in proportion to the weights, and a pool with weight 0 gets none.
 func TestPickPoolFollowsWeights(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
