hwtable: an empty key belongs to no account

Callers could see: if an account had an empty string among its keys, requests without a key were served as that account's.

Cause: the edge passes a missing key on as an empty string, and the table looked that up like any key.

Change: empty keys are left out of the table.

Evidence: TestAnEmptyKeyBelongsToNoAccount failed before and passes now.

--- a/lib/hwtable/table.go
+++ b/lib/hwtable/table.go
@@ -126,7 +126,10 @@
 	}
 	for _, a := range c.Accounts {
 		for _, key := range a.APIKeys {
-			t.accountsByKey[key] = a
+			// A request without a key must not count as one with an empty key.
+			if key != "" {
+				t.accountsByKey[key] = a
+			}
 		}
 	}
 	return t
--- a/lib/hwtable/table_test.go
+++ b/lib/hwtable/table_test.go
@@ -79,6 +79,15 @@
 	assert.False(t, table.RequiresKey(hwtable.Route{Public: true}))
 }
 
+// Guards against requests without a key that count as those of an account with an empty one.
+func TestAnEmptyKeyBelongsToNoAccount(t *testing.T) {
+	table := hwtable.New(hwtable.Config{Accounts: []hwtable.Account{{Name: "a", APIKeys: []string{"", "k"}}}})
+	_, known := table.Authenticate("")
+	assert.False(t, known)
+	_, known = table.Authenticate("k")
+	assert.True(t, known)
+}
+
 // Requests are distributed over a route's pools in proportion to the weights, and a pool with weight 0 gets none.
 func TestPickPoolFollowsWeights(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
