hwfollow: failed polls are counted in one place

The counter of failed polls is a type now, and a ping's end is seen without taking its result. Behavior is the same.

--- a/lib/hwfollow/follow.go
+++ b/lib/hwfollow/follow.go
@@ -221,31 +221,43 @@
 	}
 }
 
+// failureCounter counts the failures in a row of the same sort: calls of the source, or reads that were deferred.
+type failureCounter struct {
+	failures    int
+	wasDeferred bool
+}
+
+// count counts the result of a poll and returns the failures in a row, 0 after a success.
+func (c *failureCounter) count(err error) int {
+	var deferred *DeferredReadError
+	isDeferred := errors.As(err, &deferred)
+	if err == nil || isDeferred != c.wasDeferred {
+		c.failures = 0
+	}
+	c.wasDeferred = isDeferred
+	if err != nil {
+		c.failures++
+	}
+	return c.failures
+}
+
 // pollLoop polls for table or list until the context ends. Parameter interval is the time between the starts of two polls.
 func (p *Poller) pollLoop(ctx context.Context, question string, interval time.Duration, poll func(context.Context) error) error {
 	outages := p.outageLogger(question)
-	// failures counts the failures in a row of the same sort: calls of the source, or reads that were deferred.
-	failures, wasDeferred := 0, false
+	var counter failureCounter
 	for ctx.Err() == nil {
 		began := p.clock.Now()
 		pollCtx, cancel := context.WithTimeout(ctx, p.settings.Timeout)
 		err := poll(pollCtx)
 		cancel()
-		if ctx.Err() != nil {
-			break
+		if ctx.Err() == nil {
+			outages.log(began, p.clock.Now(), err)
 		}
-		outages.log(began, p.clock.Now(), err)
-		if err != nil {
-			var deferred *DeferredReadError
-			if isDeferred := errors.As(err, &deferred); isDeferred != wasDeferred {
-				failures, wasDeferred = 0, isDeferred
-			}
-			failures++
+		if failures := counter.count(err); failures > 0 {
 			p.waitToPoll(ctx, failures, err)
-			continue
+		} else {
+			hwtask.Sleep(ctx, interval-p.clock.Now().Sub(began))
 		}
-		failures, wasDeferred = 0, false
-		hwtask.Sleep(ctx, interval-p.clock.Now().Sub(began))
 	}
 	return nil
 }
--- a/lib/hwfollow/way.go
+++ b/lib/hwfollow/way.go
@@ -89,14 +89,9 @@
 	}
 }
 
-// hasEnded reports whether a task has ended.
+// hasEnded reports whether a task has ended, if nobody has received its result.
 func hasEnded(task <-chan error) bool {
-	select {
-	case <-task:
-		return true
-	default:
-		return false
-	}
+	return len(task) > 0
 }
 
 // sendPing sends one ping.
