What crashes upstreams is known after a kill of all routers

Callers saw: a request, or a segment of prompts, that was held because it crashes upstreams was let through again after all routers had been killed at once. Its copies went to an upstream from each router at the same time. Sound requests that ran there were lost with 502.

Cause: the routers keep what they know of crashes in memory and pass it on among those that run, so it ends with the last process. Each decides by what it has heard, so that copies that come to all of them at once crash as many upstreams as there are routers, however short the forgetting is. Ruled out: peers that answer too late (there are none that know), and reports lost between routers (copies one after the other were held).

Change: lib/hwrecord keeps the reports in one key of the platform's store. The router that reads for the fleet writes them by compare-and-swap, each router reads them when it starts. A router that neither the store nor a peer could tell is cautious for a minute: one crash is enough for a quarantine, and requests claim their unanswered segments at the segment's owner, so that equal ones go one at a time.

Why this works: after a kill the routers either know what they knew, or the fleet together tries one request where each router tried one.

--- a/lib/hwfleet/datagram.go
+++ b/lib/hwfleet/datagram.go
@@ -33,6 +33,7 @@
 		Zone:          update.Zone,
 		OutOfRotation: update.OutOfRotation,
 		Overloaded:    update.Overloaded,
+		KnowsCrashes:  update.KnowsCrashes,
 	}
 	pools := map[string]*hwpeerpb.PoolNews{}
 	pool := func(name string) *hwpeerpb.PoolNews {
@@ -113,6 +114,7 @@
 		Zone:          datagram.GetZone(),
 		OutOfRotation: datagram.GetOutOfRotation(),
 		Overloaded:    datagram.GetOverloaded(),
+		KnowsCrashes:  datagram.GetKnowsCrashes(),
 		Loads:         map[string][]hwplace.PeerLoad{},
 		Observations:  map[string][]hwplace.Observation{},
 	}
--- a/lib/hwfleet/fleet.go
+++ b/lib/hwfleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/hickorywick/hickorywick/lib/hwfollow"
 	"github.com/hickorywick/hickorywick/lib/hwforward"
 	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 	"github.com/hickorywick/hickorywick/lib/hwtask"
 )
 
@@ -48,6 +49,8 @@
 type Delegate interface {
 	TakePeerUpdate(now time.Time) hwforward.PeerUpdate
 	ApplyPeerUpdate(now time.Time, peer string, update hwforward.PeerUpdate)
+	// Claim decides for all routers whether a request with the given segment may be sent, and returns how long it has to wait otherwise.
+	Claim(now time.Time, segment hwquarantine.Segment) time.Duration
 }
 
 // peer is another router.
@@ -78,6 +81,8 @@
 	peers map[netip.AddrPort]*peer
 	// pendingQueries are the channels for the responses to this router's queries, by nonce.
 	pendingQueries map[uint64]chan *hwpeerpb.StoredState
+	// pendingClaims are the channels for the responses to this router's claims, by nonce.
+	pendingClaims map[uint64]chan *hwpeerpb.ClaimResponse
 	// snapshot returns the snapshot for responses to peers.
 	snapshot func() (hwfollow.Snapshot, bool)
 	// storeReachable reports that this router reaches the store directly.
@@ -100,6 +105,7 @@
 		now:            now,
 		peers:          map[netip.AddrPort]*peer{},
 		pendingQueries: map[uint64]chan *hwpeerpb.StoredState{},
+		pendingClaims:  map[uint64]chan *hwpeerpb.ClaimResponse{},
 	}
 }
 
@@ -194,7 +200,8 @@
 		p = &peer{}
 		f.peers[from] = p
 	}
-	isQuery := datagram.GetQuery() != nil || datagram.GetState() != nil
+	isClaim := datagram.GetClaim() != nil || datagram.GetClaimResponse() != nil
+	isQuery := datagram.GetQuery() != nil || datagram.GetState() != nil || isClaim
 	joined := p.name == "" || now.Sub(p.lastSeen) > f.settings.PeerTimeout || p.boot != datagram.GetBoot()
 	f.memberJoined = f.memberJoined || joined
 	outdated := p.boot == datagram.GetBoot() && datagram.GetSequence() <= p.sequence
@@ -226,6 +233,10 @@
 		f.deliverResponse(state)
 		return
 	}
+	if isClaim {
+		f.handleClaim(now, from, datagram)
+		return
+	}
 	if joined {
 		f.logger.Emit(hwevent.MemberJoined, hwevent.With("instance", datagram.GetRouter()), hwevent.With("address", from.String()))
 	}
--- a/lib/hwfleet/fleet_test.go
+++ b/lib/hwfleet/fleet_test.go
@@ -49,6 +49,10 @@
 	d.updates++
 }
 
+func (d *fakeDelegate) Claim(_ time.Time, segment hwquarantine.Segment) time.Duration {
+	return time.Duration(segment) * time.Second
+}
+
 func (d *fakeDelegate) updateCount() int {
 	d.lock.Lock()
 	defer d.lock.Unlock()
--- a/lib/hwfleet/fuzz_test.go
+++ b/lib/hwfleet/fuzz_test.go
@@ -12,12 +12,15 @@
 	"github.com/hickorywick/hickorywick/lib/hwevent"
 	"github.com/hickorywick/hickorywick/lib/hwforward"
 	"github.com/hickorywick/hickorywick/lib/hwpeerpb"
+	"github.com/hickorywick/hickorywick/lib/hwquarantine"
 )
 
 // discardDelegate provides empty updates and discards those from peers.
 type discardDelegate struct{}
 
-func (discardDelegate) TakePeerUpdate(time.Time) hwforward.PeerUpdate           { return hwforward.PeerUpdate{} }
+func (discardDelegate) TakePeerUpdate(time.Time) hwforward.PeerUpdate       { return hwforward.PeerUpdate{} }
+func (discardDelegate) Claim(time.Time, hwquarantine.Segment) time.Duration { return 0 }
+
 func (discardDelegate) ApplyPeerUpdate(time.Time, string, hwforward.PeerUpdate) {}
 func (discardDelegate) senderAddress() netip.AddrPort                           { return netip.MustParseAddrPort("127.0.0.1:9") }
 
--- a/lib/hwfollow/calls.go
+++ b/lib/hwfollow/calls.go
@@ -14,6 +14,8 @@
 	TableCall CallKind = iota
 	ListCall
 	PingCall
+	// RecordCall calls read or write the record of crashes.
+	RecordCall
 	callKinds
 )
 
@@ -34,7 +36,7 @@
 )
 
 var (
-	callKindNames    = [callKinds]string{"table", "list", "ping"}
+	callKindNames    = [callKinds]string{"table", "list", "ping", "record"}
 	callOutcomeNames = [callOutcomes]string{"answered", "refused", "timed-out", "failed"}
 )
 
--- a/lib/hwfollow/way.go
+++ b/lib/hwfollow/way.go
@@ -45,6 +45,9 @@
 	err    error
 }
 
+// IsReachable reports whether the source has answered the last ping. Before the first one it is taken to be reachable.
+func (p *Poller) IsReachable() bool { return !p.pingFailing.Load() }
+
 // pingLoop tests this router's own connection to the source with the cheapest request until the context ends, and publishes the results. Table and list don't show it, because peers may have supplied them.
 func (p *Poller) pingLoop(ctx context.Context) error {
 	outages := p.outageLogger("way")
--- a/lib/hwforward/metrics.go
+++ b/lib/hwforward/metrics.go
@@ -27,6 +27,9 @@
 	retries       *atomic.Int64
 	// crashes counts the crashes of upstreams at which this router had requests in flight.
 	crashes *atomic.Int64
+	// claimsHeld and claimsRefused count the requests that were held or refused because equal ones were being tried.
+	claimsHeld    *atomic.Int64
+	claimsRefused *atomic.Int64
 	// coldRefusals counts the requests that were refused because only cold upstreams without a permit were left.
 	coldRefusals *atomic.Int64
 	// waitEstimates compares the estimated with the observed queue waits at engines, grouped by the estimate.
@@ -74,6 +77,8 @@
 		estimatedWait: histogram(),
 		retries:       &atomic.Int64{},
 		crashes:       &atomic.Int64{},
+		claimsHeld:    &atomic.Int64{},
+		claimsRefused: &atomic.Int64{},
 		coldRefusals:  &atomic.Int64{},
 
 		waitEstimates: &[len(waitEstimateBoundsMS) + 1]waitEstimateSum{},
@@ -110,6 +115,8 @@
 	_, _ = fmt.Fprintf(w, "hickorywick_requests_in_flight %d\n", r.InFlight())
 	_, _ = fmt.Fprintf(w, "hickorywick_requests_sent_again_total %d\n", m.retries.Load())
 	_, _ = fmt.Fprintf(w, "hickorywick_upstream_crashes_total %d\n", m.crashes.Load())
+	_, _ = fmt.Fprintf(w, "hickorywick_claims_held_total %d\n", m.claimsHeld.Load())
+	_, _ = fmt.Fprintf(w, "hickorywick_claims_refused_total %d\n", m.claimsRefused.Load())
 	_, _ = fmt.Fprintf(w, "hickorywick_upstream_connections_opened_total %d\n", r.transport.ConnectionsOpened())
 	_, _ = fmt.Fprintf(w, "hickorywick_body_bytes_held %d\n", r.bodyMemory.reserved.Load())
 	_, _ = fmt.Fprintf(w, "hickorywick_table_version %d\n", r.tableVersion())
--- a/lib/hwforward/news.go
+++ b/lib/hwforward/news.go
@@ -35,6 +35,8 @@
 	Zone          string
 	OutOfRotation bool
 	Overloaded    bool
+	// KnowsCrashes is whether the router knows what crashes upstreams, as far as the fleet does.
+	KnowsCrashes bool
 }
 
 // Limits on the contents of one update.
@@ -72,6 +74,7 @@
 	}
 	update.Prefills, r.pendingUpdate.Prefills = splitAt(r.pendingUpdate.Prefills, maxPrefillsPerUpdate)
 	update.SegmentReports = r.takeSegmentReports(now)
+	update.KnowsCrashes = r.knowsCrashes(now)
 	r.cold.Observe(now)
 	update.Leaving = r.notices.LeavingToShare(now, maxLeavingPerUpdate)
 	r.shedding.addState(&update)
@@ -107,6 +110,9 @@
 	}
 	r.cold.RecordPeer(now, peer)
 	r.mergeSegmentReports(now, peer, update.SegmentReports)
+	if update.KnowsCrashes {
+		r.segments.Caution().HeardFromPeer(now)
+	}
 	r.applyPeerLeaving(now, update.Leaving)
 }
 
--- a/lib/hwforward/router.go
+++ b/lib/hwforward/router.go
@@ -134,6 +134,10 @@
 	// pendingChecks holds, by upstream, a channel that is closed once it is known whether the upstream has crashed.
 	pendingChecks map[string]chan struct{}
 	segments      *hwquarantine.SegmentTracker
+	// claims are those that this router decides, peerClaims asks others, or is nil. loggedCaution is whether the log says that this router is cautious.
+	claims        *hwquarantine.Claims
+	peerClaims    PeerClaims
+	loggedCaution bool
 	// exposures are the executions of which it is not known yet whether their upstreams survived them, and survivalChecks the lifetimes that are to be checked for it.
 	exposures      *hwquarantine.Exposures[hwplace.Lifetime]
 	survivalChecks map[hwplace.Lifetime]bool
@@ -152,6 +156,8 @@
 
 // New returns a router without a table or upstreams.
 func New(settings Settings, dependencies Dependencies) *Router {
+	segments := hwquarantine.NewSegmentTracker(settings.Segments)
+	segments.Start(dependencies.Clock.Now())
 	return &Router{
 		settings: settings,
 		bodyMemory: memoryLimiter{
@@ -172,7 +178,8 @@
 		evacuations:     hwplace.NewEvacuations(),
 		cold:            hwplace.NewColdUpstreams(settings.Cold, settings.Instance, dependencies.Clock.Now()),
 		pendingChecks:   map[string]chan struct{}{},
-		segments:        hwquarantine.NewSegmentTracker(settings.Segments),
+		segments:        segments,
+		claims:          hwquarantine.NewClaims(claimInterval, maxClaimWait),
 		exposures: hwquarantine.NewExposures[hwplace.Lifetime](hwquarantine.ExposureSettings{
 			SettleTime:   settings.SettleTime,
 			RestartTime:  minRestartTime,
@@ -342,6 +349,9 @@
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	if r.segments.Caution().AwaitsRecord(now) {
+		return false
+	}
 	for _, list := range r.upstreams {
 		if len(list) > 0 {
 			return true
--- a/lib/hwforward/segments.go
+++ b/lib/hwforward/segments.go
@@ -70,8 +70,13 @@
 		return false
 	}
 	r := e.router
+	suspects := e.segments
 	r.lock.Lock()
-	harmless := r.segments.AllAnswered(e.segments)
+	if r.segments.Caution().IsActive(r.clock.Now()) {
+		// One crash is enough to hold the whole request then.
+		suspects = e.suspects
+	}
+	harmless := r.segments.AllAnswered(suspects)
 	r.lock.Unlock()
 	if harmless {
 		return false
@@ -83,7 +88,7 @@
 	}
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	return r.segments.Suspected(e.segments)
+	return r.segments.Suspected(suspects)
 }
 
 // watchAttempt makes it possible to cancel the attempt.
--- a/lib/hwforward/serve.go
+++ b/lib/hwforward/serve.go
@@ -42,6 +42,8 @@
 	identity hwquarantine.Segment
 	segments []hwquarantine.Segment
 	suspects []hwquarantine.Segment
+	// cautious is set if this router may not know what crashes upstreams, so that the request has to claim its segments.
+	cautious bool
 	// trial is set if the request is sent although one of its segments is quarantined.
 	trial bool
 	// sentAt is when the present attempt began, and proof what it shows if the upstream survives it.
@@ -114,6 +116,12 @@
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), e.deadline)
 	defer cancel()
+	if e.cautious {
+		if refusal := e.claimSuspects(ctx); refusal != nil {
+			e.writeRefusal(refusal)
+			return
+		}
+	}
 	e.sendWithRetries(ctx)
 }
 
@@ -172,8 +180,31 @@
 	drainingRetryAfter = 20 * time.Millisecond
 )
 
-// prepare determines the request's route, account, deadline, cost and pool, and makes all checks that need no upstream.
+// prepare determines all that the choice of an upstream needs, and makes all checks that need no upstream.
 func (e *exchange) prepare(now time.Time, table *hwtable.Table) *hwerror.RequestError {
+	r := e.router
+	if refusal := e.authorize(now, table); refusal != nil {
+		return refusal
+	}
+	e.prompt = hwprompt.New(e.info.Model, e.info.PromptTokens, e.info.PromptParts)
+	e.cost = float64(e.info.PromptTokens) + r.settings.GeneratedTokenWeight*float64(e.info.MaxOutputTokens)
+	e.identity = e.requestIdentity()
+	for _, hash := range e.prompt.SharedContent() {
+		e.segments = append(e.segments, hwquarantine.PromptSegment(hash))
+	}
+	e.suspects = append(slices.Clone(e.segments), e.identity)
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if refusal := e.decideSegments(now); refusal != nil {
+		return refusal
+	}
+	e.cautious = !e.trial && r.segments.Caution().IsActive(now)
+	r.retryBudget(now, e.pool).Deposit(now)
+	return nil
+}
+
+// authorize determines the request's route, pool, account and deadline by the given table, and checks whether the account may use the route.
+func (e *exchange) authorize(now time.Time, table *hwtable.Table) *hwerror.RequestError {
 	r := e.router
 	if r.drainTimeOver(now) {
 		return newRefusal(hwerror.KindShuttingDown, "the instance stops").WithRetryAfter(drainingRetryAfter)
@@ -210,20 +241,9 @@
 	if timeout := e.info.ClientTimeout; timeout > 0 && timeout < route.Timeout {
 		e.deadline = e.arrivedAt.Add(timeout)
 	}
-	e.prompt = hwprompt.New(e.info.Model, e.info.PromptTokens, e.info.PromptParts)
-	e.cost = float64(e.info.PromptTokens) + r.settings.GeneratedTokenWeight*float64(e.info.MaxOutputTokens)
-	e.identity = e.requestIdentity()
-	for _, hash := range e.prompt.SharedContent() {
-		e.segments = append(e.segments, hwquarantine.PromptSegment(hash))
-	}
-	e.suspects = append(slices.Clone(e.segments), e.identity)
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	e.pool = route.PickPool(r.random.Float64())
-	if refusal := e.decideSegments(now); refusal != nil {
-		return refusal
-	}
-	r.retryBudget(now, e.pool).Deposit(now)
 	return nil
 }
 
--- a/lib/hwquarantine/segment.go
+++ b/lib/hwquarantine/segment.go
@@ -47,6 +47,10 @@
 	FirstTrialDelay time.Duration
 	TrialBackoff    float64
 	MaxTrials       int
+	// CautiousTrialDelay is the time to the first trial of a segment that is quarantined after fewer than MinCrashes.
+	CautiousTrialDelay time.Duration
+	// Caution bounds the time after a start in which one crash is enough for a quarantine.
+	Caution CautionSettings
 	// TrialTurn is how long one router alone may begin a trial that is due. After it the turn passes to the next router, because the first may get no request with the segment.
 	TrialTurn time.Duration
 	// MaxSegments limits the segments with crashes in memory, some 300 bytes each; AnsweredSegments is how many answered ones are remembered, 8 bytes each.
@@ -166,6 +170,9 @@
 		return time.Time{}, false
 	}
 	delay := time.Duration(float64(settings.FirstTrialDelay) * math.Pow(settings.TrialBackoff, float64(h.trials)))
+	if h.trials == 0 && weight(h.crashes) < settings.MinCrashes {
+		delay = settings.CautiousTrialDelay
+	}
 	return later(h.lastCrash(), h.trialAt).Add(delay), true
 }
 
@@ -180,6 +187,8 @@
 	answeredAt time.Time
 	// prunedAt is when what has expired was last removed.
 	prunedAt time.Time
+	// caution is the state after a start.
+	caution Caution
 }
 
 // NewSegmentTracker returns a tracker without crashes.
@@ -193,6 +202,20 @@
 	}
 }
 
+// Start begins the caution of a router that starts now. A tracker that is not started is never cautious.
+func (t *SegmentTracker) Start(now time.Time) {
+	t.caution = NewCaution(now, t.settings.Caution)
+}
+
+// Caution returns the state after the start.
+func (t *SegmentTracker) Caution() *Caution { return &t.caution }
+
+// hasEnoughCrashes reports whether a segment that was never answered is quarantined unless another one explains its crashes.
+func (t *SegmentTracker) hasEnoughCrashes(h *segmentHistory) bool {
+	return weight(h.crashes) >= t.settings.MinCrashes ||
+		slices.ContainsFunc(h.crashes, func(c segmentCrash) bool { return t.caution.Covers(c.at) })
+}
+
 // SegmentChange reports that a segment was quarantined or released.
 type SegmentChange struct {
 	Segment     Segment
@@ -281,7 +304,7 @@
 func (t *SegmentTracker) refresh() []SegmentChange {
 	var candidates []*segmentHistory
 	for _, h := range t.histories {
-		if !h.answeredBefore && weight(h.crashes) >= t.settings.MinCrashes {
+		if !h.answeredBefore && t.hasEnoughCrashes(h) {
 			candidates = append(candidates, h)
 		}
 	}
@@ -316,7 +339,7 @@
 		}
 		return weight(unexplained) >= t.settings.MinCrashesAnswered
 	}
-	if weight(h.crashes) < t.settings.MinCrashes {
+	if !t.hasEnoughCrashes(h) {
 		return false
 	}
 	// A segment that only came along at some of the crashes of another one is no culprit. Two with the same crashes can't be told apart: both are held.
@@ -408,6 +431,17 @@
 	})
 }
 
+// Unanswered returns those of the segments that are not known to have been answered.
+func (t *SegmentTracker) Unanswered(segments []Segment) []Segment {
+	var unanswered []Segment
+	for _, segment := range segments {
+		if !t.answered.contains(segment) {
+			unanswered = append(unanswered, segment)
+		}
+	}
+	return unanswered
+}
+
 // AllAnswered reports whether all of the segments are known to have been answered.
 func (t *SegmentTracker) AllAnswered(segments []Segment) bool {
 	return !slices.ContainsFunc(segments, func(segment Segment) bool { return !t.answered.contains(segment) })
